--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,14 @@
+# Operators' own settings. Parsed by the build step; every value has a default (docs/operations.md).
+
+leadership {
+  lease_ms = 3000
+}
+
+scaling {
+  idle_hold_s = 45
+  capacity_retry_s = 15
+}
+
+scheduling {
+  cycle_ms = 200
+}
--- /dev/null
+++ b/src/build/compile-settings.ts
@@ -0,0 +1,20 @@
+// Build step: deploy/operator.hcl -> target/operator.json. The HCL parser is large, so it never runs in a
+// controller.
+import { readFileSync, writeFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import hcl from 'hcl2-json-parser';
+import { checkOperator } from '../config/operator.js';
+import { ConfigError } from '../config/check.js';
+
+const source = fileURLToPath(new URL('../../deploy/operator.hcl', import.meta.url));
+const output = fileURLToPath(new URL('../operator.json', import.meta.url));
+try {
+  const parsed: unknown = await hcl.parseToObject(readFileSync(source, 'utf8'));
+  checkOperator(parsed);
+  writeFileSync(output, JSON.stringify(parsed) + '\n');
+  process.exit(0); // the parser's runtime would keep the process alive
+} catch (e) {
+  const message = e instanceof ConfigError ? e.message : String(e).split('\n')[0];
+  process.stderr.write(`deploy/operator.hcl: ${message}\n`);
+  process.exit(1);
+}
--- /dev/null
+++ b/src/config/platform.ts
@@ -0,0 +1,147 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+import { ConfigError, check } from './check.js';
+import type { TeamLimits } from '../core/types.js';
+import type { NodeName, Team, Zone } from '../core/units.js';
+
+const positive = v.pipe(v.number(), v.minValue(0));
+const address = v.pipe(v.string(), v.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'an address like 10.0.0.1:8080'));
+const text = v.pipe(v.string(), v.minLength(1));
+const objective = v.object({
+  kind: v.string(),
+  class: v.optional(v.string()),
+  within_s: v.optional(v.number()),
+  share: v.optional(v.number()),
+});
+
+const schema = v.object({
+  node_name: text,
+  area: text,
+  public_addr: address,
+  internal_addr: address,
+  peers: v.optional(v.array(v.object({ node_name: text, area: text, address })), []),
+  external: v.object({ cloud: address, state: address }),
+  settings: v.object({
+    count: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    zones: v.array(text),
+    clock_error_ms: positive,
+    teams: v.optional(
+      v.array(
+        v.object({
+          name: text,
+          cpus: v.optional(positive, 0),
+          cpus_max: v.optional(positive, 0),
+          gpus: v.optional(positive, 0),
+          gpus_max: v.optional(positive, 0),
+        }),
+      ),
+      [],
+    ),
+    objectives: v.optional(v.array(objective), []),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
+    cloud: v.object({ rps: positive, list_lag_s: positive }),
+    limits: v.object({ cpu: positive, memory_mb: positive, fd_limit: positive }),
+  }),
+});
+
+export interface Objective {
+  kind: string;
+  class?: string;
+  within_s?: number;
+  share?: number;
+}
+
+export interface Address {
+  host: string;
+  port: number;
+}
+
+export const parseAddress = (s: string): Address => {
+  const at = s.lastIndexOf(':');
+  return { host: s.slice(0, at), port: Number(s.slice(at + 1)) };
+};
+
+export interface Platform {
+  name: NodeName;
+  zone: Zone;
+  publicAddr: Address;
+  internalAddr: Address;
+  peers: { name: NodeName; zone: Zone; address: Address }[];
+  cloud: Address;
+  state: Address;
+  zones: Zone[];
+  clockErrorMs: number;
+  teams: TeamLimits[];
+  objectives: Objective[];
+  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloudLimits: { rps: number; listLagS: number };
+  limits: { cpu: number; memoryMb: number; sockets: number };
+}
+
+export const parsePlatform = (source: string): Platform => {
+  let raw: unknown;
+  try {
+    raw = parse(source);
+  } catch (e) {
+    throw new ConfigError(`settings: not TOML: ${String(e instanceof Error ? e.message : e).split('\n')[0]}`);
+  }
+  const c = check(schema, raw, 'settings');
+  const s = c.settings;
+  return {
+    name: c.node_name as NodeName,
+    zone: c.area as Zone,
+    publicAddr: parseAddress(c.public_addr),
+    internalAddr: parseAddress(c.internal_addr),
+    peers: c.peers.map((p) => ({
+      name: p.node_name as NodeName,
+      zone: p.area as Zone,
+      address: parseAddress(p.address),
+    })),
+    cloud: parseAddress(c.external.cloud),
+    state: parseAddress(c.external.state),
+    zones: s.zones as Zone[],
+    clockErrorMs: s.clock_error_ms,
+    teams: s.teams.map((t) => ({
+      name: t.name as Team,
+      cpus: t.cpus,
+      cpusMax: t.cpus_max,
+      gpus: t.gpus,
+      gpusMax: t.gpus_max,
+    })),
+    objectives: s.objectives,
+    workers: {
+      reportS: s.workers.report_s,
+      leaseS: s.workers.lease_s,
+      gangWaitS: s.workers.gang_wait_s,
+      gangPeerS: s.workers.gang_peer_s,
+      cancelS: s.workers.cancel_s,
+    },
+    stateLimits: {
+      rps: s.state.rps,
+      writeRps: s.state.write_rps,
+      valueKb: s.state.value_kb,
+      txnOps: s.state.txn_ops,
+    },
+    cloudLimits: { rps: s.cloud.rps, listLagS: s.cloud.list_lag_s },
+    limits: { cpu: s.limits.cpu, memoryMb: s.limits.memory_mb, sockets: s.limits.fd_limit },
+  };
+};
+
+export const readPlatform = (path: string): Platform => {
+  let source: string;
+  try {
+    source = readFileSync(path, 'utf8');
+  } catch {
+    throw new ConfigError(`${path}: cannot be read; expected a readable TOML file`);
+  }
+  return parsePlatform(source);
+};
--- /dev/null
+++ b/src/core/arrivals.ts
@@ -0,0 +1,38 @@
+// What has arrived lately, by class: the base for room that is kept ready for work still to come.
+import type { JobRecord, JobSpec, MachineType } from './types.js';
+import type { Steady, WallTime } from './units.js';
+
+const WINDOW_MS = 150_000;
+
+interface ClassHistory {
+  spec: JobSpec;
+  arrivals: { at: Steady; tasks: number }[];
+}
+
+export class Arrivals {
+  private readonly classes = new Map<string, ClassHistory>();
+
+  note(record: JobRecord, now: Steady, wall: WallTime): void {
+    const at = (now - Math.max(0, wall - record.submittedAt)) as Steady;
+    const h = this.classes.get(record.spec.class) ?? { spec: record.spec, arrivals: [] };
+    h.spec = record.spec;
+    h.arrivals.push({ at, tasks: record.spec.tasks });
+    this.classes.set(record.spec.class, h);
+  }
+
+  /** Room for the fluctuation of arrivals (a standard deviation) over the time that a new machine takes. */
+  expected(types: MachineType[], now: Steady): { spec: JobSpec; tasks: number }[] {
+    const out: { spec: JobSpec; tasks: number }[] = [];
+    for (const h of this.classes.values()) {
+      h.arrivals = h.arrivals.filter((a) => now - a.at < WINDOW_MS);
+      if (h.arrivals.length === 0) continue;
+      const usable = types.filter((t) => h.spec.types === null || h.spec.types.includes(t.name));
+      if (usable.length === 0) continue;
+      const bootS = Math.min(...usable.map((t) => t.bootS * 1.2 + h.spec.imageGb / t.fetchGbPerS));
+      const jobs = (h.arrivals.length / (WINDOW_MS / 1000)) * bootS;
+      const perJob = h.arrivals.reduce((sum, a) => sum + a.tasks, 0) / h.arrivals.length;
+      out.push({ spec: h.spec, tasks: Math.ceil(Math.sqrt(jobs) * Math.min(perJob, 8)) });
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/core/job.ts
@@ -0,0 +1,151 @@
+import type { JobRecord } from './types.js';
+import type { Attempt, Counter, JobId, MachineId, Stamp, Steady } from './units.js';
+
+/** Bits of completed tasks, kept in chunks so that 100,000 tasks fit the state service's value limit. */
+export const CHUNK_TASKS = 16_384;
+
+/** Where a task is, or may be. It stays until the machine can no longer hold it. */
+export interface Placement {
+  index: number;
+  machine: MachineId;
+  attempt: Attempt;
+  assignedAt: Steady;
+  /** The report that was answered with the start command; settled by a newer report of the same machine. */
+  sentWith: { session: Counter; seq: Counter } | null;
+  /** A start went straight to the worker and its answer is still awaited. */
+  orderOpen: boolean;
+  /** A start sent straight to the worker got no answer: it may still arrive, until the session moves on. */
+  orderLost: boolean;
+  seen: boolean;
+  running: boolean;
+  runningSince: Steady | null;
+  stop: { graceS: number; since: Steady; why: string } | null;
+}
+
+export type WaitReason =
+  | { why: 'queued' }
+  | { why: 'task may still run on a silent machine' }
+  | { why: 'back-off'; until: Steady }
+  | { why: 'team limit' }
+  | { why: 'old attempt not gone' }
+  | { why: 'waiting for victims'; victims: number }
+  | { why: 'no machine with room' }
+  | { why: 'machines booting' };
+
+export class Job {
+  readonly placements = new Map<number, Placement>();
+  readonly done: Uint8Array;
+  readonly durable: Uint8Array;
+  doneCount = 0;
+  /** Chunks with completions that the state service doesn't hold yet. */
+  readonly dirty = new Set<number>();
+  readonly writing = new Set<number>();
+  /** Chunks that have a key in the state service. */
+  readonly stored = new Set<number>();
+  private readonly requeued = new Set<number>();
+  private cursor = 0;
+  backoffUntil = -Infinity;
+  rejections = 0;
+  /** Error back-off isn't cut short by free capacity: the job itself may be at fault. */
+  errorUntil = -Infinity;
+  errors = 0;
+  readonly errorMachines = new Set<MachineId>();
+  reason: WaitReason = { why: 'queued' };
+  loggedReason = '';
+  finalizing = false;
+  waitingSince: Steady;
+
+  constructor(
+    readonly id: JobId,
+    public record: JobRecord,
+    public stamp: Stamp,
+    /** Known before this leadership began: an earlier leader may have started its tasks. */
+    readonly inherited: boolean,
+    now: Steady,
+  ) {
+    const bytes = Math.ceil(record.spec.tasks / 8);
+    this.done = new Uint8Array(bytes);
+    this.durable = new Uint8Array(bytes);
+    this.waitingSince = now;
+  }
+
+  get spec() {
+    return this.record.spec;
+  }
+
+  get cancelled(): boolean {
+    return this.record.cancelledAt !== null;
+  }
+
+  get allDone(): boolean {
+    return this.doneCount === this.spec.tasks;
+  }
+
+  get pendingCount(): number {
+    let placedNotDone = 0;
+    for (const index of this.placements.keys()) if (!this.isDone(index)) placedNotDone++;
+    return this.spec.tasks - this.doneCount - placedNotDone;
+  }
+
+  get runningCount(): number {
+    let n = 0;
+    for (const p of this.placements.values()) if (p.running) n++;
+    return n;
+  }
+
+  isDone(index: number): boolean {
+    return (this.done[index >> 3]! & (1 << (index & 7))) !== 0;
+  }
+
+  isDurable(index: number): boolean {
+    return (this.durable[index >> 3]! & (1 << (index & 7))) !== 0;
+  }
+
+  markDone(index: number): void {
+    if (index >= this.spec.tasks || this.isDone(index)) return;
+    this.done[index >> 3]! |= 1 << (index & 7);
+    this.doneCount++;
+    this.dirty.add(Math.floor(index / CHUNK_TASKS));
+  }
+
+  /** The first n tasks that are neither done nor placed; none is taken away. */
+  pending(n: number): number[] {
+    const out: number[] = [];
+    for (const index of this.requeued) {
+      if (this.isDone(index) || this.placements.has(index)) this.requeued.delete(index);
+      else if (out.length < n) out.push(index);
+      else break;
+    }
+    const skip = new Set(out);
+    while (this.cursor < this.spec.tasks && (this.isDone(this.cursor) || this.placements.has(this.cursor))) {
+      this.cursor++;
+    }
+    for (let i = this.cursor; i < this.spec.tasks && out.length < n; i++) {
+      if (!this.isDone(i) && !this.placements.has(i) && !skip.has(i)) out.push(i);
+    }
+    return out;
+  }
+
+  release(index: number): void {
+    if (!this.placements.delete(index)) return;
+    if (!this.isDone(index) && index < this.cursor) this.requeued.add(index);
+  }
+
+  chunkBytes(chunk: number, from: Uint8Array = this.done): Uint8Array {
+    const start = (chunk * CHUNK_TASKS) / 8;
+    return from.subarray(start, start + CHUNK_TASKS / 8);
+  }
+
+  /** Completions read back from the state service, or confirmed as written to it. */
+  confirmChunk(chunk: number, bytes: Uint8Array): void {
+    this.stored.add(chunk);
+    const start = (chunk * CHUNK_TASKS) / 8;
+    for (let i = 0; i < bytes.length && start + i < this.durable.length; i++) {
+      this.durable[start + i]! |= bytes[i]!;
+      this.done[start + i]! |= bytes[i]!;
+    }
+    let count = 0;
+    for (const byte of this.done) for (let b = byte; b !== 0; b &= b - 1) count++;
+    this.doneCount = count;
+  }
+}
--- /dev/null
+++ b/src/core/leader.ts
@@ -0,0 +1,878 @@
+// What the leader knows and wants. Events go in, effects come out; no I/O, no clock, no randomness of its own.
+import { Arrivals } from './arrivals.js';
+import { Machine, add, attemptKey } from './cluster.js';
+import { Job, type Placement } from './job.js';
+import { commandsFor } from './reconcile.js';
+import { runCycle } from './scheduler.js';
+import { capacityKey, planScaling, type RentOrder, type Want } from './scaling.js';
+import {
+  priorityRank,
+  type Amounts,
+  type Command,
+  type JobRecord,
+  type Leadership,
+  type ListedMachine,
+  type MachineInfo,
+  type MachineType,
+  type Report,
+  type ReportedTask,
+  type TeamLimits,
+  type WorkerTimes,
+  type FinalState,
+} from './types.js';
+import { attemptOf, sameCounter, taskId } from './units.js';
+import type { Counter, Endpoint, JobId, MachineId, Stamp, Steady, Team, WallTime, Zone } from './units.js';
+
+export type Effect =
+  | { kind: 'finish'; job: JobId; stamp: Stamp; state: FinalState; tasks: number; chunks: number[] }
+  | { kind: 'progress'; job: JobId; chunk: number; bytes: Uint8Array }
+  | { kind: 'enroll'; machines: MachineInfo[] }
+  | { kind: 'unenroll'; machines: MachineId[] }
+  | { kind: 'rent'; request: string; order: RentOrder }
+  | { kind: 'return'; machines: MachineId[] }
+  | { kind: 'orders'; machine: MachineId; endpoint: Endpoint; session: Counter; commands: Command[] }
+  | { kind: 'log'; level: 'info' | 'debug'; fields: Record<string, unknown>; text: string };
+
+export interface LeaderSettings {
+  workers: WorkerTimes;
+  teams: TeamLimits[];
+  idleHoldS: number;
+  capacityRetryS: number;
+  txnOps: number;
+  listLagS: number;
+  /** Uniform in [0, 1). */
+  random: () => number;
+}
+
+export type FinishOutcome =
+  { kind: 'ok' } | { kind: 'retry' } | { kind: 'changed'; record: JobRecord; stamp: Stamp };
+
+const MAX_TASKS_A_CYCLE = 40;
+const MAX_NEW_MACHINES = 60;
+const BACKOFF_MS = 400;
+const BACKOFF_MAX_MS = 5000;
+const ERROR_BACKOFF_MS = 2000;
+const ERROR_BACKOFF_MAX_MS = 60_000;
+const RETURN_RETRY_MS = 1500;
+
+export class Leader {
+  readonly machines = new Map<MachineId, Machine>();
+  readonly jobs = new Map<JobId, Job>();
+  private types: MachineType[] = [];
+  private readonly teams: Map<Team, TeamLimits>;
+  private readonly refusedUntil = new Map<string, Steady>();
+  private readonly refusals = new Map<string, number>();
+  private readonly rents = new Map<string, RentOrder>();
+  private readonly arrivals = new Arrivals();
+  /** Machines that may hold tasks of an earlier leader and have not reported under our token. */
+  private readonly blockers = new Set<MachineId>();
+  /** Machines whose return was answered: lists lag and go on showing them for a while. */
+  private readonly gone = new Map<MachineId, Steady>();
+  private readonly pokes = new Set<Machine>();
+  private effects: Effect[] = [];
+  private attempts = 0;
+  private requests = 0;
+  private dirty = true;
+  private rebuilt = false;
+  private lastReturn = -Infinity;
+  private lastProgress = -Infinity;
+
+  constructor(
+    readonly leadership: Leadership,
+    private readonly settings: LeaderSettings,
+    private readonly startedAt: Steady,
+  ) {
+    this.teams = new Map(settings.teams.map((t) => [t.name, t]));
+  }
+
+  takeEffects(): Effect[] {
+    const out = this.effects;
+    this.effects = [];
+    return out;
+  }
+
+  // ---- what a takeover loads -------------------------------------------------------------------------------
+
+  loadMachine(info: MachineInfo, now: Steady): void {
+    const m = this.addMachine(info, now);
+    m.roster = 'durable';
+    m.up = true; // it had tasks or was about to
+    this.blockers.add(info.id);
+  }
+
+  setTypes(types: MachineType[]): void {
+    this.types = types;
+    for (const m of this.machines.values()) m.type = types.find((t) => t.name === m.info.type) ?? m.type;
+  }
+
+  /** A job's record as the state service has it, from the first load or from the watch. */
+  learnJob(
+    id: JobId,
+    record: JobRecord,
+    stamp: Stamp,
+    inherited: boolean,
+    now: Steady,
+    wall: WallTime,
+  ): void {
+    const known = this.jobs.get(id);
+    if (known) {
+      if (stamp < known.stamp) return; // an older event than what we hold
+      const cancelledNow = !known.cancelled && record.cancelledAt !== null;
+      known.record = record;
+      known.stamp = stamp;
+      if (cancelledNow) this.cancel(known, now);
+      return;
+    }
+    const job = new Job(id, record, stamp, inherited, now);
+    this.jobs.set(id, job);
+    this.arrivals.note(record, now, wall);
+    this.dirty = true;
+    this.log('debug', { job: id, class: record.spec.class, tasks: record.spec.tasks }, 'job known');
+  }
+
+  loadProgress(id: JobId, chunk: number, bytes: Uint8Array): void {
+    this.jobs.get(id)?.confirmChunk(chunk, bytes);
+  }
+
+  // ---- reports ---------------------------------------------------------------------------------------------
+
+  onReport(report: Report, now: Steady): Command[] {
+    const m = this.observe(report, now);
+    // Not under our token yet: an earlier leader's order could still arrive, and this answer raises the token.
+    if (!m || !m.settled) return [];
+    const commands = commandsFor(m, this.jobs, now);
+    for (const c of commands) {
+      if (c.op !== 'start') continue;
+      const p = this.jobs.get(c.job)?.placements.get(c.index);
+      if (p) p.sentWith = { session: report.session, seq: report.seq };
+    }
+    this.pokes.delete(m);
+    return commands;
+  }
+
+  /** A report that comes while we have no authority to command: only taken in. */
+  onReportWithoutAuthority(report: Report, now: Steady): void {
+    this.observe(report, now);
+  }
+
+  onOrdersAnswer(
+    id: MachineId,
+    commands: Command[],
+    result:
+      { kind: 'executed' | 'refused'; report: Report | null } | { kind: 'unsent' } | { kind: 'unknown' },
+    now: Steady,
+  ): void {
+    const m = this.machines.get(id);
+    if (!m) return;
+    m.orderOpen = false;
+    for (const c of commands) {
+      if (c.op !== 'start') continue;
+      const p = this.jobs.get(c.job)?.placements.get(c.index);
+      const own = p && p.attempt === c.attempt && p.machine === id ? p : undefined;
+      if (own) own.orderOpen = false;
+      if (result.kind !== 'unknown') m.unreapable.delete(attemptKey(c.job, c.index, c.attempt));
+      // No answer: the start may arrive late. It stays unreapable, and the placement stays until it is seen.
+      else if (own) own.orderLost = true;
+    }
+    if ((result.kind === 'executed' || result.kind === 'refused') && result.report)
+      this.observe(result.report, now);
+  }
+
+  /** Takes in a report; null if it is older than what is known. */
+  private observe(report: Report, now: Steady): Machine | null {
+    const m = this.machines.get(report.id) ?? this.addMachine(report, now);
+    const newSession = report.session > m.session;
+    if (!newSession && (report.session < m.session || report.seq <= m.seq) && m.lastReportAt !== null)
+      return null;
+    if (!m.up || m.lastReportAt === null) this.cameUp(m, now);
+    m.info = {
+      id: report.id,
+      endpoint: report.endpoint,
+      type: report.type,
+      zone: report.zone,
+      spot: report.spot,
+    };
+    m.endpointKnown = true;
+    m.up = true;
+    const first = m.lastReportAt === null;
+    m.lastReportAt = now;
+    if (newSession && !first) this.sessionEnded(m, now);
+    m.session = report.session;
+    m.seq = report.seq;
+    if (report.noticeS !== null) this.notice(m, report.noticeS, now);
+    m.tasks = new Map(report.tasks.map((t) => [attemptKey(t.job, t.index, t.attempt), t]));
+    if (!m.settled) {
+      m.settled = sameCounter(report.token, this.leadership.term);
+      if (!m.settled) return m;
+      this.blockers.delete(m.id);
+      this.dirty = true;
+    }
+    this.digest(m, report, now);
+    const idle = !m.busy;
+    if (!idle) m.idleSince = null;
+    else m.idleSince ??= now;
+    return m;
+  }
+
+  private cameUp(m: Machine, now: Steady): void {
+    this.dirty = true;
+    this.wake();
+    if (m.roster === 'none') m.idleSince = now;
+    this.log('debug', { machine: m.id, bootS: (now - m.rentedAt) / 1000 }, 'machine up');
+  }
+
+  /** The worker's lease ran out: every task that it held is gone, and answers to older reports are dropped. */
+  private sessionEnded(m: Machine, now: Steady): void {
+    m.unreapable.clear();
+    this.log('info', { machine: m.id, tasks: m.placements.size }, 'worker session ended, tasks lost');
+    for (const { job, placement } of [...m.placements.values()]) {
+      if (placement.seen || placement.sentWith || placement.orderOpen || placement.orderLost) {
+        this.lost(job, placement, 'session ended', now);
+      }
+    }
+  }
+
+  private digest(m: Machine, report: Report, now: Steady): void {
+    for (const t of report.tasks) this.digestTask(m, t, now);
+    for (const { job, placement: p } of [...m.placements.values()]) {
+      if (m.tasks.has(attemptKey(job.id, p.index, p.attempt))) continue;
+      if (p.orderOpen || p.orderLost) continue;
+      if (p.seen) {
+        this.lost(job, p, 'task vanished', now);
+        continue;
+      }
+      // An answer is executed before the worker's next report or never: this report settles it.
+      const settled =
+        p.sentWith === null || report.session > p.sentWith.session || report.seq > p.sentWith.seq;
+      if (p.stop && settled) this.release(job, p, now);
+    }
+  }
+
+  private digestTask(m: Machine, t: ReportedTask, now: Steady): void {
+    const job = this.jobs.get(t.job);
+    if (!job || t.index >= job.spec.tasks) return;
+    if (t.state !== 'fetching' && t.cause !== 'no_room' && t.cause !== 'in_use' && t.cause !== 'no_such') {
+      if (t.state !== 'exited' || t.cause === 'done') m.useImage(job.spec.image, job.spec.imageGb);
+    }
+    let p = job.placements.get(t.index);
+    if (!p && t.state !== 'exited' && !job.isDone(t.index) && !job.finalizing) p = this.adopt(m, job, t, now);
+    const own = p && p.machine === m.id && p.attempt === t.attempt ? p : undefined;
+    if (t.state === 'exited') {
+      this.digestExit(m, job, t, own, now);
+      return;
+    }
+    if (!own) return;
+    own.seen = true;
+    const running = t.state === 'running' || t.state === 'waiting';
+    if (running && !own.running) {
+      own.runningSince = now;
+      this.log(
+        'debug',
+        { job: job.id, task: t.index, machine: m.id, afterS: (now - own.assignedAt) / 1000 },
+        'task has its image',
+      );
+    }
+    own.running = running;
+  }
+
+  private digestExit(m: Machine, job: Job, t: ReportedTask, own: Placement | undefined, now: Steady): void {
+    if (t.cause === 'done') {
+      // The tasks of a gang complete together.
+      if (job.spec.kind === 'gang') for (let i = 0; i < job.spec.tasks; i++) job.markDone(i);
+      else job.markDone(t.index);
+      m.errorJobs.clear();
+    }
+    if (!own) return;
+    if (t.cause === 'error') this.taskError(m, job, now);
+    else if (t.cause === 'no_room') job.backoffUntil = now + 1000 * (0.5 + this.settings.random());
+    const wanted = own.stop;
+    this.release(job, own, now);
+    if (t.cause === 'done') return;
+    this.log(
+      t.cause === 'stopped' ? 'debug' : 'info',
+      { job: job.id, task: t.index, machine: m.id, cause: t.cause, saved: t.saved, why: wanted?.why ?? null },
+      'task ended without completing',
+    );
+    if (job.spec.kind === 'gang') this.breakGang(job, `member ${t.index}: ${t.cause}`, now);
+  }
+
+  /** Bad machines and bad jobs are told apart: several jobs failing here condemn the machine, one job alone not. */
+  private taskError(m: Machine, job: Job, now: Steady): void {
+    m.errorJobs.set(job.id, now);
+    job.errorMachines.add(m.id);
+    job.errors++;
+    if (m.errorJobs.size >= 2 && !m.sick) {
+      m.sick = true;
+      this.log('info', { machine: m.id, jobs: m.errorJobs.size }, 'machine fails tasks of several jobs');
+      this.leave(m, 'fails tasks', now);
+    }
+    if (job.errorMachines.size >= 3) {
+      const delay = Math.min(ERROR_BACKOFF_MAX_MS, ERROR_BACKOFF_MS * 2 ** (job.errors - 3));
+      job.errorUntil = now + delay * (0.75 + 0.5 * this.settings.random());
+      job.errorMachines.clear();
+      this.log(
+        'info',
+        { job: job.id, errors: job.errors, delayMs: Math.round(delay) },
+        'job fails everywhere, slowed',
+      );
+    }
+  }
+
+  private adopt(m: Machine, job: Job, t: ReportedTask, now: Steady): Placement {
+    const p: Placement = {
+      index: t.index,
+      machine: m.id,
+      attempt: t.attempt,
+      assignedAt: now,
+      sentWith: null,
+      orderOpen: false,
+      orderLost: false,
+      seen: true,
+      running: false,
+      runningSince: null,
+      stop: null,
+    };
+    job.placements.set(t.index, p);
+    m.placements.set(taskId(job.id, t.index), { job, placement: p });
+    if (job.cancelled) p.stop = { graceS: 0, since: now, why: 'cancelled' };
+    return p;
+  }
+
+  // ---- stopping and releasing ------------------------------------------------------------------------------
+
+  private release(job: Job, p: Placement, now: Steady): void {
+    const m = this.machines.get(p.machine);
+    m?.placements.delete(taskId(job.id, p.index));
+    job.release(p.index);
+    job.waitingSince = now;
+    this.dirty = true;
+    this.wake();
+  }
+
+  private lost(job: Job, p: Placement, why: string, now: Steady): void {
+    this.log('info', { job: job.id, task: p.index, machine: p.machine, why }, 'task lost');
+    this.release(job, p, now);
+    if (job.spec.kind === 'gang') this.breakGang(job, why, now);
+  }
+
+  /** A gang below its minimum is stopped; once its members are gone it requeues from its checkpoint. */
+  private breakGang(job: Job, why: string, now: Steady): void {
+    for (const p of [...job.placements.values()]) this.stopPlacement(job, p, 0, `gang broken: ${why}`, now);
+  }
+
+  private stopPlacement(job: Job, p: Placement, graceS: number, why: string, now: Steady): void {
+    if (p.stop) {
+      if (graceS === 0) p.stop.graceS = 0;
+      return;
+    }
+    p.stop = { graceS, since: now, why };
+    const m = this.machines.get(p.machine);
+    if (!p.sentWith && !p.orderOpen && !p.orderLost && !p.seen) {
+      this.release(job, p, now); // never told to anyone
+      return;
+    }
+    if (m) this.pokes.add(m);
+  }
+
+  /** Stops a task for a reason of ours; a gang goes as a whole, all members told at once. */
+  private evict(job: Job, p: Placement, why: string, now: Steady): void {
+    const graceS = job.spec.checkpointS > 0 ? job.spec.saveS : 0;
+    const group = job.spec.kind === 'gang' ? [...job.placements.values()] : [p];
+    for (const each of group) this.stopPlacement(job, each, graceS, why, now);
+  }
+
+  private cancel(job: Job, now: Steady): void {
+    this.log('debug', { job: job.id, tasks: job.placements.size }, 'job cancelled');
+    for (const p of [...job.placements.values()]) this.stopPlacement(job, p, 0, 'cancelled', now);
+    this.dirty = true;
+  }
+
+  private notice(m: Machine, noticeS: number, now: Steady): void {
+    m.noticeEndsAt = (now + noticeS * 1000) as Steady;
+    if (m.noticeAt !== null) return;
+    m.noticeAt = now;
+    this.log('info', { machine: m.id, noticeS, tasks: m.placements.size }, 'spot notice');
+    for (const { job, placement } of [...m.placements.values()]) {
+      if (job.spec.checkpointS > 0 || !placement.running) this.evict(job, placement, 'spot notice', now);
+    }
+  }
+
+  // ---- machines --------------------------------------------------------------------------------------------
+
+  private addMachine(info: MachineInfo, now: Steady): Machine {
+    const plain = { id: info.id, endpoint: info.endpoint, type: info.type, zone: info.zone, spot: info.spot };
+    const m = new Machine(
+      plain,
+      this.types.find((t) => t.name === info.type),
+      now,
+    );
+    this.machines.set(info.id, m);
+    return m;
+  }
+
+  onRented(request: string, outcome: { machines: MachineId[] } | 'no-capacity' | 'retry', now: Steady): void {
+    const order = this.rents.get(request);
+    if (!order) return;
+    const key = capacityKey(order.type, order.zone, order.spot);
+    if (outcome === 'retry') {
+      // The name is kept: a repeat of a request that was carried out gives the same machines.
+      this.effects.push({ kind: 'rent', request, order });
+      return;
+    }
+    this.rents.delete(request);
+    const got = outcome === 'no-capacity' ? 0 : outcome.machines.length;
+    if (outcome !== 'no-capacity') {
+      for (const id of outcome.machines) {
+        if (this.machines.has(id)) continue;
+        const info = { id, endpoint: '' as Endpoint, type: order.type, zone: order.zone, spot: order.spot };
+        this.addMachine(info, now);
+      }
+    }
+    if (got < order.count) {
+      const n = (this.refusals.get(key) ?? 0) + 1;
+      this.refusals.set(key, n);
+      const delay =
+        this.settings.capacityRetryS *
+        1000 *
+        Math.min(4, 2 ** (n - 1)) *
+        (0.75 + 0.5 * this.settings.random());
+      this.refusedUntil.set(key, (now + delay) as Steady);
+    } else {
+      this.refusals.delete(key);
+    }
+    this.log('info', { request, ...order, got }, 'rental answered');
+    this.dirty = true;
+  }
+
+  onList(listed: ListedMachine[], now: Steady): void {
+    for (const [id, at] of this.gone) if (now - at > this.settings.listLagS * 4000) this.gone.delete(id);
+    for (const l of listed) {
+      let m = this.machines.get(l.id);
+      if (!m) {
+        if (this.gone.has(l.id)) continue;
+        // Rented by an earlier leader, or by a request carried out late: to be used or returned.
+        m = this.addMachine(l, now);
+        m.rentedAt = (now - l.ageS * 1000) as Steady;
+      }
+      m.listedAt = now;
+      if (l.status === 'failed') this.fence(m, 'failed', now);
+    }
+  }
+
+  onReturned(ids: MachineId[], ok: boolean, now: Steady): void {
+    const gone: MachineId[] = [];
+    for (const id of ids) {
+      const m = this.machines.get(id);
+      if (!m?.leaving) continue;
+      m.leaving.asked = false;
+      if (!ok) continue;
+      // The answer says that the machine and all that was on it are gone.
+      for (const { job, placement } of [...m.placements.values()])
+        this.lost(job, placement, 'machine gone', now);
+      this.machines.delete(id);
+      this.gone.set(id, now);
+      this.blockers.delete(id);
+      this.pokes.delete(m);
+      if (m.roster !== 'none') gone.push(id);
+      this.dirty = true;
+    }
+    if (gone.length > 0) this.effects.push({ kind: 'unenroll', machines: gone });
+  }
+
+  onEnrolled(ids: MachineId[], ok: boolean): void {
+    for (const id of ids) {
+      const m = this.machines.get(id);
+      if (!m) continue;
+      m.roster = ok ? 'durable' : 'none';
+      if (ok && m.placements.size > 0) this.pokes.add(m);
+    }
+  }
+
+  /** Gives a machine back once its tasks have left. */
+  private leave(m: Machine, why: string, now: Steady): void {
+    if (m.leaving) return;
+    m.leaving = { why, since: now, asked: false };
+    for (const { job, placement } of [...m.placements.values()]) this.evict(job, placement, why, now);
+  }
+
+  /** Gives a machine back with whatever it holds: the sure way to end what can't be reached. */
+  private fence(m: Machine, why: string, now: Steady): void {
+    if (m.leaving?.why === 'fence') return;
+    m.leaving = { why: 'fence', since: now, asked: false };
+    this.log('info', { machine: m.id, why, tasks: m.placements.size }, 'machine fenced');
+  }
+
+  private watchSilence(now: Steady, wall: WallTime): void {
+    const { reportS, leaseS, cancelS } = this.settings.workers;
+    const patience = Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
+    const longPatience = Math.max(patience, cancelS * 600);
+    const silent: Machine[] = [];
+    const total = new Map<Zone, number>();
+    const quiet = new Map<Zone, number>();
+    for (const m of this.machines.values()) {
+      if (!m.up) continue;
+      const zone = m.info.zone;
+      total.set(zone, (total.get(zone) ?? 0) + 1);
+      const since = m.lastReportAt ?? this.startedAt;
+      if (now - since < patience) continue;
+      silent.push(m);
+      quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
+    }
+    for (const m of silent) {
+      if (m.leaving?.why === 'fence') continue;
+      const zone = m.info.zone;
+      // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
+      const cut = quiet.get(zone)! >= 2 && quiet.get(zone)! >= 0.5 * total.get(zone)!;
+      const since = m.lastReportAt ?? this.startedAt;
+      const overdue = this.holdsOverdueCancel(m, wall);
+      if (!cut || overdue || now - since >= longPatience) this.fence(m, cut ? 'zone silent' : 'silent', now);
+    }
+  }
+
+  /** A cancelled task must be gone within cancel_s: half of it is left to waiting, half to the fence. */
+  private holdsOverdueCancel(m: Machine, wall: WallTime): boolean {
+    for (const { job } of m.placements.values()) {
+      const at = job.record.cancelledAt;
+      if (at !== null && wall - at > this.settings.workers.cancelS * 500) return true;
+    }
+    return false;
+  }
+
+  private watchBoots(now: Steady): void {
+    for (const m of this.machines.values()) {
+      if (m.up || m.leaving) continue;
+      const bootMs = (m.type?.bootS ?? 60) * 1000;
+      if (now - m.rentedAt > Math.max(4 * bootMs, 90_000)) this.fence(m, 'never came up', now);
+    }
+  }
+
+  private returnLeaving(now: Steady): void {
+    if (now - this.lastReturn < RETURN_RETRY_MS) return;
+    const ids: MachineId[] = [];
+    for (const m of this.machines.values()) {
+      if (!m.leaving || m.leaving.asked) continue;
+      if (m.leaving.why !== 'fence' && m.busy) continue;
+      m.leaving.asked = true;
+      ids.push(m.id);
+      if (ids.length === 100) break;
+    }
+    if (ids.length === 0) return;
+    this.lastReturn = now;
+    this.effects.push({ kind: 'return', machines: ids });
+  }
+
+  // ---- the loop --------------------------------------------------------------------------------------------
+
+  /** Anything that could let a rejected group fit ends its back-off early. */
+  private wake(): void {
+    for (const job of this.jobs.values()) if (job.backoffUntil > -Infinity) job.backoffUntil = -Infinity;
+  }
+
+  tick(now: Steady, wall: WallTime): void {
+    this.enroll();
+    this.watchSilence(now, wall);
+    this.watchBoots(now);
+    this.finishJobs(now);
+    if (this.readyToPlace(now)) this.schedule(now);
+    this.returnLeaving(now);
+    this.poke(now);
+  }
+
+  private enroll(): void {
+    const fresh: MachineInfo[] = [];
+    for (const m of this.machines.values()) {
+      if (m.roster !== 'none' || !m.up || !m.endpointKnown || m.leaving) continue;
+      m.roster = 'writing';
+      fresh.push(m.info);
+      if (fresh.length >= this.settings.txnOps) break;
+    }
+    if (fresh.length > 0) this.effects.push({ kind: 'enroll', machines: fresh });
+  }
+
+  /** A new leader first hears one round of reports; silent machines hold up only what may be on them. */
+  private readyToPlace(now: Steady): boolean {
+    if (this.rebuilt) return true;
+    const waited = now - this.startedAt;
+    if (this.blockers.size > 0 && waited < this.settings.workers.reportS * 2500 + 1500) return false;
+    this.rebuilt = true;
+    this.log(
+      'info',
+      { afterMs: Math.round(waited), silent: this.blockers.size, jobs: this.jobs.size },
+      'rebuilt',
+    );
+    return true;
+  }
+
+  private finishJobs(now: Steady): void {
+    const flush = now - this.lastProgress >= 1000;
+    if (flush) this.lastProgress = now;
+    for (const job of this.jobs.values()) {
+      if (job.finalizing) continue;
+      if (job.allDone || (job.cancelled && job.placements.size === 0)) {
+        job.finalizing = true;
+        const state = job.cancelled ? 'withdrawn' : 'done';
+        const chunks = [...job.stored];
+        const { id, stamp } = job;
+        this.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, chunks });
+      } else if (flush && job.dirty.size > 0 && !job.cancelled) {
+        for (const chunk of job.dirty) {
+          if (job.writing.has(chunk)) continue;
+          job.dirty.delete(chunk);
+          job.writing.add(chunk);
+          this.effects.push({ kind: 'progress', job: job.id, chunk, bytes: job.chunkBytes(chunk).slice() });
+        }
+      }
+    }
+  }
+
+  onProgress(id: JobId, chunk: number, bytes: Uint8Array, ok: boolean): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.writing.delete(chunk);
+    if (ok) job.confirmChunk(chunk, bytes);
+    else job.dirty.add(chunk);
+  }
+
+  onFinished(id: JobId, outcome: FinishOutcome, now: Steady): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.finalizing = false;
+    if (outcome.kind === 'retry') return;
+    if (outcome.kind === 'changed') {
+      const cancelledNow = !job.cancelled && outcome.record.cancelledAt !== null;
+      job.record = outcome.record;
+      job.stamp = outcome.stamp;
+      if (cancelledNow) this.cancel(job, now);
+      return;
+    }
+    // Whatever is still reported of it is stopped and forgotten as a task of no known job.
+    for (const p of [...job.placements.values()]) {
+      const m = this.machines.get(p.machine);
+      m?.placements.delete(taskId(job.id, p.index));
+      if (m) this.pokes.add(m);
+    }
+    this.jobs.delete(id);
+    this.dirty = true;
+    this.log('debug', { job: id, cancelled: job.cancelled }, 'job finished');
+  }
+
+  private specOf = (id: JobId): Amounts | null => this.jobs.get(id)?.spec ?? null;
+
+  private teamUsage(): Map<Team, Amounts> {
+    const usage = new Map<Team, Amounts>();
+    for (const job of this.jobs.values()) {
+      let tasks = job.placements.size;
+      // Not located: an earlier leader may have started them on a machine that is still silent.
+      if (job.inherited && this.blockers.size > 0) tasks += job.pendingCount;
+      if (tasks === 0) continue;
+      const used = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+      add(used, job.spec, tasks);
+      usage.set(job.spec.team, used);
+    }
+    return usage;
+  }
+
+  private waiting(now: Steady): { queue: Job[]; blocked: Job[] } {
+    const queue: Job[] = [];
+    const blocked: Job[] = [];
+    for (const job of this.jobs.values()) {
+      if (job.cancelled || job.finalizing || job.pendingCount === 0) continue;
+      if (job.inherited && this.blockers.size > 0) {
+        job.reason = { why: 'task may still run on a silent machine' };
+      } else if (now < job.errorUntil) {
+        job.reason = { why: 'back-off', until: job.errorUntil as Steady };
+      } else if (now < job.backoffUntil) {
+        blocked.push(job);
+      } else {
+        queue.push(job);
+      }
+    }
+    const due = (j: Job): number => j.record.submittedAt + (j.spec.deadlineS ?? 600) * 1000;
+    queue.sort(
+      (a, b) =>
+        priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
+        due(a) - due(b) ||
+        (a.id < b.id ? -1 : 1),
+    );
+    return { queue, blocked };
+  }
+
+  private schedule(now: Steady): void {
+    if (!this.dirty && !this.hasDue(now)) return;
+    this.dirty = false;
+    const { queue, blocked } = this.waiting(now);
+    const result = runCycle({
+      machines: this.machines,
+      queue,
+      specOf: this.specOf,
+      usage: this.teamUsage(),
+      teams: this.teams,
+      now,
+      maxTasks: MAX_TASKS_A_CYCLE,
+    });
+    for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
+    const gangAttempts = new Map<JobId, ReturnType<typeof attemptOf>>();
+    for (const a of result.placed) {
+      if (a.job.spec.kind !== 'gang') continue;
+      const p = a.job.placements.get(a.index)!;
+      const shared = gangAttempts.get(a.job.id) ?? p.attempt;
+      gangAttempts.set(a.job.id, shared);
+      p.attempt = shared;
+    }
+    for (const v of result.victims) this.evict(v.job, v.placement, 'preempted', now);
+    for (const { job } of result.unplaced) {
+      job.rejections++;
+      const delay = Math.min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** Math.min(job.rejections, 10));
+      // Individual times: groups rejected together must not come back in one wave.
+      job.backoffUntil = now + delay * (0.5 + this.settings.random());
+    }
+    this.explain(queue);
+    this.scale([...result.unplaced.map((u) => u.job), ...blocked], now);
+  }
+
+  private hasDue(now: Steady): boolean {
+    for (const job of this.jobs.values()) {
+      if (job.pendingCount > 0 && now >= job.backoffUntil && now >= job.errorUntil) return true;
+    }
+    return now - this.lastScale > 1000;
+  }
+
+  private commit(job: Job, index: number, m: Machine, now: Steady): void {
+    const p: Placement = {
+      index,
+      machine: m.id,
+      attempt: attemptOf(this.leadership.term, ++this.attempts),
+      assignedAt: now,
+      sentWith: null,
+      orderOpen: false,
+      orderLost: false,
+      seen: false,
+      running: false,
+      runningSince: null,
+      stop: null,
+    };
+    job.placements.set(index, p);
+    m.placements.set(taskId(job.id, index), { job, placement: p });
+    m.idleSince = null;
+    job.rejections = 0;
+    this.pokes.add(m);
+    this.log(
+      'debug',
+      { job: job.id, task: index, machine: m.id, waitedS: (now - job.waitingSince) / 1000 },
+      'placed',
+    );
+  }
+
+  /** Why a job waits is logged whenever the reason changes. */
+  private explain(queue: Job[]): void {
+    for (const job of queue) {
+      const why = job.pendingCount === 0 ? '' : job.reason.why;
+      if (why === job.loggedReason) continue;
+      job.loggedReason = why;
+      if (why !== '') this.log('info', { job: job.id, class: job.spec.class, ...job.reason }, 'job waits');
+    }
+  }
+
+  // ---- scaling ---------------------------------------------------------------------------------------------
+
+  private lastScale = -Infinity;
+
+  private scale(waiting: Job[], now: Steady): void {
+    if (now - this.lastScale < 500 || this.types.length === 0) return;
+    this.lastScale = now;
+    const rooms: { machine: Machine; free: Amounts }[] = [];
+    for (const m of this.machines.values()) {
+      if (!m.type || m.leaving || m.sick || m.noticeAt !== null) continue;
+      if (m.up && !m.settled) continue;
+      const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
+      add(free, m.used(this.specOf), -1);
+      rooms.push({ machine: m, free });
+    }
+    const wants: Want[] = waiting.map((job) => ({
+      spec: job.spec,
+      tasks: Math.min(job.pendingCount, 200),
+      zones: this.zonesOf(job),
+      expected: false,
+    }));
+    for (const e of this.arrivals.expected(this.types, now)) {
+      wants.push({ spec: e.spec, tasks: e.tasks, zones: new Map(), expected: true });
+    }
+    const { refusedUntil } = this;
+    const plan = planScaling({
+      rooms,
+      wants,
+      types: this.types,
+      refusedUntil,
+      now,
+      maxNew: MAX_NEW_MACHINES,
+    });
+    const pending = this.rents.size > 0;
+    if (!pending) {
+      for (const order of plan.orders) {
+        const request = `t${this.leadership.term}-${++this.requests}`;
+        const capped = { ...order, count: Math.min(order.count, 50) };
+        this.rents.set(request, capped);
+        this.effects.push({ kind: 'rent', request, order: capped });
+      }
+    }
+    for (const m of this.machines.values()) {
+      if (!m.up || m.leaving || m.busy || plan.needed.has(m.id) || m.idleSince === null || !m.settled)
+        continue;
+      const age = now - m.rentedAt;
+      if (now - m.idleSince > this.settings.idleHoldS * 1000 && age > 60_000) this.leave(m, 'idle', now);
+    }
+  }
+
+  private zonesOf(job: Job): Map<Zone, number> {
+    const zones = new Map<Zone, number>();
+    for (const p of job.placements.values()) {
+      const zone = this.machines.get(p.machine)?.info.zone;
+      if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    }
+    return zones;
+  }
+
+  // ---- orders ----------------------------------------------------------------------------------------------
+
+  /** Tells workers of new starts and stops at once, without waiting for their next report. */
+  private poke(now: Steady): void {
+    for (const m of this.pokes) {
+      if (m.orderOpen) continue;
+      this.pokes.delete(m);
+      if (!m.settled || !m.endpointKnown || this.machines.get(m.id) !== m) continue;
+      const commands = commandsFor(m, this.jobs, now).filter((c) => c.op !== 'forget');
+      if (commands.length === 0) {
+        if (m.roster !== 'durable' && m.placements.size > 0) this.pokes.add(m);
+        continue;
+      }
+      for (const c of commands) {
+        if (c.op !== 'start') continue;
+        const p = this.jobs.get(c.job)?.placements.get(c.index);
+        if (p) p.orderOpen = true;
+        m.unreapable.add(attemptKey(c.job, c.index, c.attempt));
+      }
+      m.orderOpen = true;
+      const { id: machine, session } = m;
+      this.effects.push({ kind: 'orders', machine, endpoint: m.info.endpoint, session, commands });
+    }
+  }
+
+  status(): Record<string, unknown> {
+    const jobs = [...this.jobs.values()].map((j) => ({
+      id: j.id,
+      class: j.spec.class,
+      team: j.spec.team,
+      priority: j.spec.priority,
+      tasks: j.spec.tasks,
+      done: j.doneCount,
+      placed: j.placements.size,
+      running: j.runningCount,
+      waits: j.pendingCount > 0 ? j.reason : null,
+    }));
+    return { term: this.leadership.term, machines: this.machines.size, silent: this.blockers.size, jobs };
+  }
+
+  private log(level: 'info' | 'debug', fields: Record<string, unknown>, text: string): void {
+    this.effects.push({ kind: 'log', level, fields, text });
+  }
+}
--- /dev/null
+++ b/src/core/scaling.ts
@@ -0,0 +1,159 @@
+// How many machines of which type, zone and kind the waiting and the expected work needs.
+import { add, fits, type Machine } from './cluster.js';
+import { mayRunOn } from './scheduler.js';
+import type { Amounts, JobSpec, MachineType } from './types.js';
+import type { MachineId, Steady, TypeName, Zone } from './units.js';
+
+export interface Want {
+  spec: JobSpec;
+  tasks: number;
+  /** Zones already used by the job's tasks, for spread and one-zone jobs. */
+  zones: Map<Zone, number>;
+  expected: boolean;
+}
+
+export interface RentOrder {
+  type: TypeName;
+  zone: Zone;
+  spot: boolean;
+  count: number;
+}
+
+interface Room {
+  free: Amounts;
+  type: TypeName;
+  zone: Zone;
+  spot: boolean;
+  machine: MachineId | null;
+  order: string | null;
+}
+
+export interface ScalingInput {
+  /** Schedulable machines with what is free on them, and machines still booting. */
+  rooms: { machine: Machine; free: Amounts }[];
+  wants: Want[];
+  types: MachineType[];
+  refusedUntil: Map<string, Steady>;
+  now: Steady;
+  maxNew: number;
+}
+
+export interface ScalingResult {
+  orders: RentOrder[];
+  /** Machines that waiting or expected work would use: not idle, whatever they do now. */
+  needed: Set<MachineId>;
+  /** Wants that nothing rentable can take at present. */
+  stuck: number;
+}
+
+export const capacityKey = (type: TypeName, zone: Zone, spot: boolean): string => `${type}|${zone}|${spot}`;
+
+/** How many tasks of this kind an empty machine of the type takes. */
+const perMachine = (spec: Amounts, type: MachineType): number => {
+  let n = 100_000;
+  if (spec.cpus > 0) n = Math.min(n, Math.floor(type.cpus / spec.cpus + 1e-6));
+  if (spec.gpus > 0) n = Math.min(n, Math.floor(type.gpus / spec.gpus + 1e-6));
+  if (spec.memoryGb > 0) n = Math.min(n, Math.floor(type.memoryGb / spec.memoryGb + 1e-6));
+  return n;
+};
+
+export const fitsSomeType = (spec: JobSpec, types: MachineType[]): boolean =>
+  types.some((t) => t.zones.some((z) => mayRunOn(spec, t.name, z, false)) && fits(spec, t));
+
+class Plan {
+  private readonly rooms: Room[] = [];
+  private readonly orders = new Map<string, RentOrder>();
+  readonly needed = new Set<MachineId>();
+  stuck = 0;
+  private fresh = 0;
+
+  constructor(private readonly input: ScalingInput) {
+    for (const { machine, free } of input.rooms) {
+      const { type, zone, spot } = machine.info;
+      this.rooms.push({ free: { ...free }, type, zone, spot, machine: machine.id, order: null });
+    }
+  }
+
+  run(): ScalingResult {
+    for (const want of this.input.wants) this.satisfy(want);
+    return { orders: [...this.orders.values()], needed: this.needed, stuck: this.stuck };
+  }
+
+  private satisfy(want: Want): void {
+    const zones = new Map(want.zones);
+    for (let left = want.tasks; left > 0; left--) {
+      const room = this.findRoom(want.spec, zones) ?? this.newRoom(want, zones, left);
+      if (!room) {
+        this.stuck += left;
+        return;
+      }
+      add(room.free, want.spec, -1);
+      if (room.machine !== null) this.needed.add(room.machine);
+      zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
+    }
+  }
+
+  private zoneAllowed(spec: JobSpec, zone: Zone, zones: Map<Zone, number>): boolean {
+    if (spec.oneZone && zones.size > 0 && !zones.has(zone)) return false;
+    return !spec.spread || (zones.get(zone) ?? 0) < Math.ceil(spec.tasks / 2);
+  }
+
+  /** The fullest room that takes it, so that empty machines stay empty and can go back. */
+  private findRoom(spec: JobSpec, zones: Map<Zone, number>): Room | null {
+    let best: Room | null = null;
+    for (const r of this.rooms) {
+      if (!fits(spec, r.free) || !mayRunOn(spec, r.type, r.zone, r.spot)) continue;
+      if (!this.zoneAllowed(spec, r.zone, zones)) continue;
+      if (best === null || r.free.gpus < best.free.gpus) best = r;
+    }
+    return best;
+  }
+
+  private newRoom(want: Want, zones: Map<Zone, number>, left: number): Room | null {
+    if (this.fresh >= this.input.maxNew) return null;
+    const spec = want.spec;
+    let best: { type: MachineType; zone: Zone; spot: boolean; cost: number } | null = null;
+    for (const type of this.input.types) {
+      const fit = perMachine(spec, type);
+      if (fit === 0) continue;
+      const used = Math.min(left, fit);
+      // Room beyond this job's tasks is worth something, as others will use it, but less.
+      const share = (used + 0.35 * (fit - used)) / fit;
+      for (const zone of type.zones) {
+        if (!this.zoneAllowed(spec, zone, zones)) continue;
+        for (const spot of spec.spot ? [true, false] : [false]) {
+          if (!mayRunOn(spec, type.name, zone, spot)) continue;
+          if ((this.input.refusedUntil.get(capacityKey(type.name, zone, spot)) ?? -Infinity) > this.input.now)
+            continue;
+          const cost = (spot ? type.spotPrice : type.price) / (fit * share);
+          if (best === null || cost < best.cost) best = { type, zone, spot, cost };
+        }
+      }
+    }
+    if (!best) return null;
+    this.fresh++;
+    const key = capacityKey(best.type.name, best.zone, best.spot);
+    const order = this.orders.get(key) ?? {
+      type: best.type.name,
+      zone: best.zone,
+      spot: best.spot,
+      count: 0,
+    };
+    order.count++;
+    this.orders.set(key, order);
+    const { cpus, gpus, memoryGb } = best.type;
+    const free = { cpus, gpus, memoryGb };
+    const room: Room = {
+      free,
+      type: best.type.name,
+      zone: best.zone,
+      spot: best.spot,
+      machine: null,
+      order: key,
+    };
+    this.rooms.push(room);
+    return room;
+  }
+}
+
+export const planScaling = (input: ScalingInput): ScalingResult => new Plan(input).run();
--- /dev/null
+++ b/src/core/scheduler.ts
@@ -0,0 +1,341 @@
+// The workload scheduling cycle: one frozen snapshot, whole groups, assumed placements, victims nominated and
+// stopped only after a complete placement (docs/design.md).
+import { add, fits, type Machine } from './cluster.js';
+import type { Job, Placement } from './job.js';
+import { priorityRank, type Amounts, type JobSpec, type TeamLimits } from './types.js';
+import type { JobId, MachineId, Steady, Team, Zone } from './units.js';
+
+interface Victim {
+  job: Job;
+  placement: Placement;
+}
+
+interface Slot {
+  machine: Machine;
+  free: Amounts;
+  /** Room that tasks already told to stop will leave. */
+  releasing: Amounts;
+  fetches: number;
+  empty: boolean;
+}
+
+export interface Assumed {
+  job: Job;
+  index: number;
+  machine: Machine;
+}
+
+export interface CycleResult {
+  placed: Assumed[];
+  victims: Victim[];
+  /** Jobs with tasks left over, in queue order: what scaling looks at. */
+  unplaced: { job: Job; tasks: number }[];
+}
+
+export interface CycleInput {
+  machines: Map<MachineId, Machine>;
+  queue: Job[];
+  specOf: (job: JobId) => Amounts | null;
+  usage: Map<Team, Amounts>;
+  teams: Map<Team, TeamLimits>;
+  now: Steady;
+  /** Tasks considered for each array or service in one cycle: bounds the time a cycle takes. */
+  maxTasks: number;
+}
+
+const OPEN_EMPTY_S = 8;
+const ORDINARY_FOR_SPOT_S = 4;
+
+export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
+  (spec.types === null || spec.types.some((t) => t === type)) &&
+  (spec.zone === null || spec.zone === zone) &&
+  (spec.spot || !spot);
+
+export const withinLimit = (
+  spec: Amounts,
+  used: Amounts | undefined,
+  limit: TeamLimits | undefined,
+): boolean => {
+  if (!limit) return false;
+  const cpus = (used?.cpus ?? 0) + spec.cpus;
+  const gpus = (used?.gpus ?? 0) + spec.gpus;
+  return (
+    (limit.cpusMax === 0 || cpus <= limit.cpusMax + 1e-6) &&
+    (limit.gpusMax === 0 || gpus <= limit.gpusMax + 1e-6)
+  );
+};
+
+/** Tasks with the same signature get the same answer from the filter, so a failure is asked for once a cycle. */
+const signature = (s: JobSpec): string =>
+  `${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types?.join(',') ?? ''}|${s.zone ?? ''}|${s.spot}|${s.priority}`;
+
+const zonesOf = (job: Job, machines: Map<MachineId, Machine>): Map<Zone, number> => {
+  const zones = new Map<Zone, number>();
+  for (const p of job.placements.values()) {
+    const zone = machines.get(p.machine)?.info.zone;
+    if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+  }
+  return zones;
+};
+
+class Cycle {
+  private readonly slots: Slot[] = [];
+  private readonly byId = new Map<MachineId, Slot>();
+  private readonly usage = new Map<Team, Amounts>();
+  private readonly hopeless = new Set<string>();
+  private readonly stopping = new Set<Placement>();
+  readonly result: CycleResult = { placed: [], victims: [], unplaced: [] };
+
+  constructor(private readonly input: CycleInput) {
+    for (const m of input.machines.values()) this.addSlot(m);
+    for (const [team, used] of input.usage) this.usage.set(team, { ...used });
+  }
+
+  run(): CycleResult {
+    for (const job of this.input.queue) this.placeJob(job);
+    return this.result;
+  }
+
+  private addSlot(m: Machine): void {
+    if (!m.schedulable || !m.type) return;
+    const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
+    add(free, m.used(this.input.specOf), -1);
+    const releasing = { cpus: 0, gpus: 0, memoryGb: 0 };
+    let fetches = 0;
+    for (const { job, placement } of m.placements.values()) {
+      if (placement.stop) add(releasing, job.spec);
+      if (!placement.running) fetches++;
+    }
+    const slot = { machine: m, free, releasing, fetches, empty: !m.busy };
+    this.slots.push(slot);
+    this.byId.set(m.id, slot);
+  }
+
+  private placeJob(job: Job): void {
+    const wanted = job.spec.kind === 'gang' ? job.spec.tasks : this.input.maxTasks;
+    const pending = job.pending(wanted);
+    if (pending.length === 0) return;
+    if (job.spec.kind === 'gang') this.placeGang(job, pending);
+    else this.placeEach(job, pending);
+  }
+
+  /** Arrays and services: every task is a group of its own with a minimum count of one. */
+  private placeEach(job: Job, pending: number[]): void {
+    const sig = signature(job.spec);
+    const zones = zonesOf(job, this.input.machines);
+    for (let i = 0; i < pending.length; i++) {
+      if (!this.teamAllows(job, 1)) {
+        job.reason = { why: 'team limit' };
+        return; // not handed to scaling: more machines would not help
+      }
+      const hopeless = this.hopeless.has(sig);
+      const slot = hopeless ? null : this.best(job, zones);
+      if (slot) {
+        this.assume(job, pending[i]!, slot, zones);
+        continue;
+      }
+      const victims = hopeless ? null : this.nominate(job, zones);
+      if (victims) {
+        this.result.victims.push(...victims.list);
+        this.reserve(job, victims.slot, victims.list, zones);
+        job.reason = { why: 'waiting for victims', victims: victims.list.length };
+        continue;
+      }
+      if (zones.size === 0 && !job.spec.spread && !job.spec.oneZone && job.errorMachines.size === 0) {
+        this.hopeless.add(sig);
+      }
+      job.reason = { why: 'no machine with room' };
+      this.result.unplaced.push({ job, tasks: job.pendingCount - i });
+      return;
+    }
+  }
+
+  /** Gangs: all tasks or none, in one zone if the job says so. */
+  private placeGang(job: Job, pending: number[]): void {
+    if (job.placements.size > 0) {
+      job.reason = { why: 'old attempt not gone' };
+      return;
+    }
+    if (!this.teamAllows(job, pending.length)) {
+      job.reason = { why: 'team limit' };
+      return;
+    }
+    const zones: (Zone | null)[] = job.spec.oneZone
+      ? [...new Set(this.slots.map((s) => s.machine.info.zone))]
+      : [null];
+    let bestPlan: { slots: Slot[]; cost: number } | null = null;
+    for (const zone of zones) {
+      const plan = this.planGang(job, pending.length, zone);
+      if (plan && (bestPlan === null || plan.cost < bestPlan.cost)) bestPlan = plan;
+    }
+    if (bestPlan) {
+      bestPlan.slots.forEach((slot, i) => this.assume(job, pending[i]!, slot, new Map()));
+      return;
+    }
+    for (const zone of zones) if (this.preemptForGang(job, pending.length, zone)) return;
+    job.reason = { why: 'no machine with room' };
+    this.result.unplaced.push({ job, tasks: pending.length });
+  }
+
+  private planGang(job: Job, tasks: number, zone: Zone | null): { slots: Slot[]; cost: number } | null {
+    const chosen: Slot[] = [];
+    let cost = 0;
+    for (let i = 0; i < tasks; i++) {
+      const slot = this.best(job, new Map(), zone);
+      if (!slot) break;
+      cost = Math.max(cost, this.score(job.spec, slot));
+      add(slot.free, job.spec, -1);
+      chosen.push(slot);
+    }
+    for (const slot of chosen) add(slot.free, job.spec); // only a plan so far
+    return chosen.length === tasks ? { slots: chosen, cost } : null;
+  }
+
+  private preemptForGang(job: Job, tasks: number, zone: Zone | null): boolean {
+    const victims: Victim[] = [];
+    const reserved: Slot[] = [];
+    const usedBefore = this.usage.get(job.spec.team);
+    if (usedBefore) this.usage.set(job.spec.team, { ...usedBefore });
+    for (let i = 0; i < tasks; i++) {
+      const free = this.best(job, new Map(), zone);
+      if (free) {
+        this.take(job, free, new Map());
+        reserved.push(free);
+        continue;
+      }
+      const found = this.nominate(job, new Map(), zone);
+      if (!found) break;
+      victims.push(...found.list);
+      this.reserve(job, found.slot, found.list, new Map());
+      reserved.push(found.slot);
+    }
+    if (reserved.length === tasks) {
+      this.result.victims.push(...victims);
+      job.reason = { why: 'waiting for victims', victims: victims.length };
+      return true;
+    }
+    // Not complete: nobody is stopped. The nominations are taken back.
+    for (const slot of reserved) add(slot.free, job.spec);
+    if (usedBefore) this.usage.set(job.spec.team, usedBefore);
+    else this.usage.delete(job.spec.team);
+    for (const v of victims) {
+      this.stopping.delete(v.placement);
+      add(this.byId.get(v.placement.machine)!.releasing, v.job.spec, -1);
+    }
+    return false;
+  }
+
+  private allowed(job: Job, slot: Slot, zones: Map<Zone, number>, only: Zone | null): boolean {
+    const { info } = slot.machine;
+    const spec = job.spec;
+    if (only !== null && info.zone !== only) return false;
+    if (!mayRunOn(spec, info.type, info.zone, info.spot)) return false;
+    if (job.errorMachines.has(info.id)) return false;
+    if (spec.oneZone && zones.size > 0 && !zones.has(info.zone)) return false;
+    return !spec.spread || (zones.get(info.zone) ?? 0) < Math.ceil(spec.tasks / 2);
+  }
+
+  private best(job: Job, zones: Map<Zone, number>, only: Zone | null = null): Slot | null {
+    let best: Slot | null = null;
+    let bestScore = Infinity;
+    for (const slot of this.slots) {
+      if (!fits(job.spec, slot.free) || !this.allowed(job, slot, zones, only)) continue;
+      const score = this.score(job.spec, slot);
+      if (score < bestScore) {
+        best = slot;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /** Expected seconds until the task can start, plus what it costs to use up this machine's room. */
+  private score(spec: JobSpec, slot: Slot): number {
+    const type = slot.machine.type!;
+    let score = slot.machine.hasImage(spec.image)
+      ? 0
+      : (spec.imageGb / type.fetchGbPerS) * (1 + 0.5 * slot.fetches);
+    if (slot.empty) score += OPEN_EMPTY_S;
+    if (spec.spot && !slot.machine.info.spot) score += ORDINARY_FOR_SPOT_S;
+    const left =
+      type.gpus > 0 ? (slot.free.gpus - spec.gpus) / type.gpus : (slot.free.cpus - spec.cpus) / type.cpus;
+    return score + 2 * left;
+  }
+
+  private assume(job: Job, index: number, slot: Slot, zones: Map<Zone, number>): void {
+    this.take(job, slot, zones);
+    slot.empty = false;
+    if (!slot.machine.hasImage(job.spec.image)) slot.fetches++;
+    this.result.placed.push({ job, index, machine: slot.machine });
+  }
+
+  private take(job: Job, slot: Slot, zones: Map<Zone, number>): void {
+    add(slot.free, job.spec, -1);
+    const used = this.usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    add(used, job.spec);
+    this.usage.set(job.spec.team, used);
+    zones.set(slot.machine.info.zone, (zones.get(slot.machine.info.zone) ?? 0) + 1);
+  }
+
+  /** Holds the room for this job within the cycle, so that nobody behind it in the queue takes it. */
+  private reserve(job: Job, slot: Slot, victims: Victim[], zones: Map<Zone, number>): void {
+    for (const v of victims) {
+      this.stopping.add(v.placement);
+      add(slot.releasing, v.job.spec);
+    }
+    this.take(job, slot, zones);
+  }
+
+  /** The machine where room costs the least lower-priority work; an empty list: only wait for those leaving. */
+  private nominate(
+    job: Job,
+    zones: Map<Zone, number>,
+    only: Zone | null = null,
+  ): { slot: Slot; list: Victim[] } | null {
+    let best: { slot: Slot; list: Victim[]; cost: number } | null = null;
+    for (const slot of this.slots) {
+      if (!this.allowed(job, slot, zones, only)) continue;
+      const found = this.victimsOn(job, slot);
+      if (found && (best === null || found.cost < best.cost)) best = { slot, ...found };
+    }
+    return best;
+  }
+
+  private victimsOn(job: Job, slot: Slot): { list: Victim[]; cost: number } | null {
+    const room = { ...slot.free };
+    add(room, slot.releasing);
+    if (fits(job.spec, room)) return { list: [], cost: 0 };
+    const rank = priorityRank[job.spec.priority];
+    const candidates: Victim[] = [];
+    for (const c of slot.machine.placements.values()) {
+      if (priorityRank[c.job.spec.priority] >= rank) continue;
+      if (c.placement.stop || this.stopping.has(c.placement)) continue;
+      candidates.push(c);
+    }
+    candidates.sort((a, b) => this.loss(a) - this.loss(b));
+    const list: Victim[] = [];
+    let cost = 0;
+    for (const c of candidates) {
+      list.push(c);
+      cost += this.loss(c) + 1;
+      add(room, c.job.spec);
+      if (fits(job.spec, room)) return { list, cost };
+    }
+    return null;
+  }
+
+  /** Seconds of work that stopping loses, with lower priorities well before higher ones. */
+  private loss(v: Victim): number {
+    const ran = v.placement.runningSince === null ? 0 : (this.input.now - v.placement.runningSince) / 1000;
+    const lost = v.job.spec.checkpointS > 0 ? Math.min(ran, v.job.spec.saveS) : ran;
+    return lost + 1000 * priorityRank[v.job.spec.priority];
+  }
+
+  private teamAllows(job: Job, tasks: number): boolean {
+    const { cpus, gpus, memoryGb } = job.spec;
+    const need = { cpus: cpus * tasks, gpus: gpus * tasks, memoryGb: memoryGb * tasks };
+    return withinLimit(need, this.usage.get(job.spec.team), this.input.teams.get(job.spec.team));
+  }
+}
+
+export const runCycle = (input: CycleInput): CycleResult => new Cycle(input).run();
--- /dev/null
+++ b/src/core/units.ts
@@ -0,0 +1,30 @@
+// Ids, versions and times are small types of their own, so that they can't be mixed up.
+declare const brand: unique symbol;
+type Branded<T, B extends string> = T & { readonly [brand]: B };
+
+export type JobId = Branded<string, 'JobId'>;
+export type TaskId = Branded<string, 'TaskId'>;
+export type MachineId = Branded<string, 'MachineId'>;
+export type NodeName = Branded<string, 'NodeName'>;
+export type TypeName = Branded<string, 'TypeName'>;
+export type Zone = Branded<string, 'Zone'>;
+export type Team = Branded<string, 'Team'>;
+export type Endpoint = Branded<string, 'Endpoint'>;
+/** Steady-clock milliseconds; only meaningful inside one process. */
+export type Steady = Branded<number, 'Steady'>;
+/** Time-of-day milliseconds; comparable between processes within the clock error. */
+export type WallTime = Branded<number, 'WallTime'>;
+/** Rising number of a leadership; doubles as the workers' token. */
+export type Term = Branded<number, 'Term'>;
+export type Attempt = Branded<number, 'Attempt'>;
+/** Outside counters go up to 2^64: numbers while safe, bigints beyond. `<` and `>` compare both. */
+export type Counter = number | bigint;
+export type Stamp = Counter;
+
+export const sameCounter = (a: Counter, b: Counter): boolean => !(a < b) && !(a > b);
+
+export const taskId = (job: JobId, index: number): TaskId => `${job}/${index}` as TaskId;
+
+/** Attempts derive from the term, so that no two leaders ever use the same one and none needs a write. */
+const ATTEMPTS_PER_TERM = 2 ** 24;
+export const attemptOf = (term: Term, n: number): Attempt => (term * ATTEMPTS_PER_TERM + n) as Attempt;
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+import { run } from './cli/run.js';
+
+const code = await run(process.argv.slice(2));
+if (code !== null) process.exit(code);
--- /dev/null
+++ b/src/runtime/checkin.ts
@@ -0,0 +1,109 @@
+// Workers' reports, at whichever controller they arrive: the leader answers with commands; others redirect,
+// relay, or keep the worker alive while no leader can be reached.
+import type { HttpReply } from './http-server.js';
+import type { Membership } from './membership.js';
+import type { PeerLink } from './peer-link.js';
+import type { LeaderLoop } from './leader-loop.js';
+import type { Platform } from '../config/platform.js';
+import { highestTerm } from '../core/election.js';
+import type { Report } from '../core/types.js';
+import type { MachineId, Steady } from '../core/units.js';
+import { encode, tryDecode } from '../wire/cbor.js';
+import { parseReport, redirectBody, reportAnswer } from '../wire/workers.js';
+import type { Logger } from './logger.js';
+
+const RELAY_TIMEOUT_MS = 2500;
+const BOUNCES_BEFORE_RELAY = 2;
+
+const steady = (): Steady => performance.now() as Steady;
+const answer = (status: number, body: unknown): HttpReply => ({ status, body: encode(body) });
+const elsewhere = (leader: Parameters<typeof redirectBody>[0]): HttpReply =>
+  answer(421, redirectBody(leader));
+
+export class Checkin {
+  private readonly bounces = new Map<MachineId, { count: number; at: Steady }>();
+  private leaderSeenAt = -Infinity;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly membership: Membership,
+    private readonly links: PeerLink[],
+    private readonly leading: () => LeaderLoop | null,
+    private readonly log: Logger,
+  ) {}
+
+  async handle(body: Buffer): Promise<HttpReply> {
+    const parsed = parseReport(tryDecode(body));
+    if (!parsed.ok) {
+      this.log.limited('report', 'info', { cause: parsed.cause }, 'malformed report refused');
+      return answer(400, { error: parsed.cause });
+    }
+    const report = parsed.value;
+    const now = steady();
+    const link = this.leaderLink(now);
+    if (this.membership.holdsLease) return this.asLeader(report, now);
+    if (link) {
+      this.leaderSeenAt = now;
+      return this.toLeader(report, body, link, now);
+    }
+    return this.keepAlive(report, now);
+  }
+
+  private asLeader(report: Report, now: Steady): HttpReply {
+    const loop = this.leading();
+    const term = this.membership.election.held!.term;
+    // An answer under a lower token would be dropped and would hold the worker here.
+    if (report.token > term) return elsewhere(null);
+    if (this.membership.authority) {
+      this.leaderSeenAt = now;
+      return answer(200, reportAnswer(term, loop?.report(report) ?? []));
+    }
+    loop?.core?.onReportWithoutAuthority(report, now);
+    return this.keepAlive(report, now);
+  }
+
+  private async toLeader(report: Report, body: Buffer, link: PeerLink, now: Steady): Promise<HttpReply> {
+    const last = this.bounces.get(report.id);
+    const windowMs = this.platform.workers.leaseS * 1000;
+    const count = last && now - last.at < windowMs ? last.count : 0;
+    if (count < BOUNCES_BEFORE_RELAY) {
+      if (this.bounces.size > 2000) this.bounces.clear();
+      this.bounces.set(report.id, { count: count + 1, at: now });
+      return elsewhere(link.name);
+    }
+    // Sent away twice and back again: this worker can't reach the leader, but we can.
+    this.bounces.set(report.id, { count, at: now });
+    const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
+    const status = relayed?.['status'];
+    const bytes = relayed?.['body'];
+    if (typeof status === 'number' && bytes instanceof Uint8Array)
+      return { status, body: Buffer.from(bytes) };
+    return this.keepAlive(report, steady());
+  }
+
+  /**
+   * No leader in reach: work goes on under the last token, with no commands. Bounded, since nobody here learns
+   * of cancellations: with the lease added, a cancelled task must still be gone within cancel_s.
+   */
+  private keepAlive(report: Report, now: Steady): HttpReply {
+    const { cancelS, leaseS, reportS } = this.platform.workers;
+    const windowMs = (cancelS - leaseS - 2 * reportS - 4) * 1000;
+    const term = highestTerm(this.membership.election);
+    if (term === 0 || now - this.leaderSeenAt > windowMs) return answer(503, {});
+    if (report.token > term) return elsewhere(null);
+    return answer(200, reportAnswer(term, []));
+  }
+
+  private leaderLink(now: Steady): PeerLink | null {
+    for (const link of this.links) {
+      if (
+        link.alive(now) &&
+        link.status?.leading &&
+        link.status.term >= highestTerm(this.membership.election)
+      ) {
+        return link;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/runtime/cloud-client.ts
@@ -0,0 +1,78 @@
+import { HttpClient } from './http-client.js';
+import { Budget } from './budget.js';
+import type { Platform } from '../config/platform.js';
+import type { ListedMachine, MachineType } from '../core/types.js';
+import type { MachineId } from '../core/units.js';
+import { encode, tryDecode } from '../wire/cbor.js';
+import * as wire from '../wire/cloud.js';
+
+export type RentOutcome =
+  | { kind: 'rented'; machines: MachineId[] }
+  | { kind: 'no-capacity' }
+  | { kind: 'refused' } // 429, outage, over our budget: not carried out
+  | { kind: 'unknown' };
+
+const TIMEOUT_MS = 3000;
+
+export class CloudClient {
+  private readonly http: HttpClient;
+  private readonly budget: Budget;
+
+  constructor(platform: Platform) {
+    this.http = new HttpClient(platform.cloud, 6, 20_000);
+    const rps = platform.cloudLimits.rps * 0.85;
+    this.budget = new Budget(rps, Math.max(1, rps * 1.5), performance.now());
+  }
+
+  /** Null while the cloud doesn't answer. */
+  async types(): Promise<MachineType[] | null> {
+    return this.read('/machine_types', wire.parseTypes);
+  }
+
+  async list(): Promise<ListedMachine[] | null> {
+    const machines: ListedMachine[] = [];
+    let since: MachineId | null = null;
+    for (;;) {
+      const page: ReturnType<typeof wire.parseMachines> = await this.read(
+        wire.listTarget(since, 500),
+        wire.parseMachines,
+      );
+      if (!page) return null;
+      machines.push(...page.machines);
+      const last = page.machines.at(-1);
+      if (!page.more || !last) return machines;
+      since = last.id;
+    }
+  }
+
+  async rent(rental: wire.Rental): Promise<RentOutcome> {
+    if (!this.budget.take(1, performance.now())) return { kind: 'refused' };
+    const r = await this.http.request('POST', '/machines', encode(wire.rentBody(rental)), TIMEOUT_MS);
+    if (!r.ok) return r.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    const body = tryDecode(r.body);
+    if (r.status === 200) {
+      const machines = wire.parseRented(body);
+      return machines ? { kind: 'rented', machines } : { kind: 'unknown' };
+    }
+    const error = typeof body === 'object' && body !== null && 'error' in body ? body.error : null;
+    return { kind: r.status === 503 && error === 'no capacity' ? 'no-capacity' : 'refused' };
+  }
+
+  /** True only when the answer says that the machines are gone. */
+  async giveBack(machines: MachineId[]): Promise<boolean> {
+    if (!this.budget.take(1, performance.now())) return false;
+    const r = await this.http.request(
+      'POST',
+      '/machines/return',
+      encode(wire.returnBody(machines)),
+      TIMEOUT_MS,
+    );
+    return r.ok && r.status === 200;
+  }
+
+  private async read<T>(target: string, parse: (raw: unknown) => T | null): Promise<T | null> {
+    if (!this.budget.take(1, performance.now())) return null;
+    const r = await this.http.request('GET', target, null, TIMEOUT_MS);
+    return r.ok && r.status === 200 ? parse(tryDecode(r.body)) : null;
+  }
+}
--- /dev/null
+++ b/src/runtime/controller.ts
@@ -0,0 +1,274 @@
+// One controller: wires servers, links, election and the leader's loop together.
+import { createServer, type Socket } from 'node:net';
+import { createHistogram } from 'node:perf_hooks';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { Checkin } from './checkin.js';
+import { CloudClient } from './cloud-client.js';
+import { httpConnections, type HttpReply } from './http-server.js';
+import type { HttpMessage } from './http-parser.js';
+import { LeaderLoop } from './leader-loop.js';
+import { Logger } from './logger.js';
+import { Membership } from './membership.js';
+import { PeerLink, answerPeer, type PeerRequest, type PeerResponse, type PeerStatus } from './peer-link.js';
+import { StateClient, reserves } from './state-client.js';
+import { UserApi } from './user-api.js';
+import type { Operator } from '../config/operator.js';
+import type { Address, Platform } from '../config/platform.js';
+import { highestTerm } from '../core/election.js';
+import type { MachineType } from '../core/types.js';
+import type { JobId } from '../core/units.js';
+import { encode } from '../wire/cbor.js';
+import { keys, parseStoredTypes } from '../wire/state.js';
+
+const STATE_FRESH_MS = 2500;
+const MAX_USER_REQUESTS = 32;
+const TYPES_REFRESH_MS = 30_000;
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+export class Controller {
+  private readonly log: Logger;
+  private readonly state: StateClient;
+  private readonly cloud: CloudClient;
+  private readonly membership: Membership;
+  private readonly links: PeerLink[];
+  private readonly users: UserApi;
+  private readonly checkin: Checkin;
+  private readonly random: () => number;
+  private loop: LeaderLoop | null = null;
+  private types: MachineType[] = [];
+  private userRequests = 0;
+  private refused = 0;
+  private readonly times = { user: createHistogram(), report: createHistogram() };
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly operator: Operator,
+  ) {
+    this.log = new Logger(platform.name);
+    this.state = new StateClient(platform);
+    this.cloud = new CloudClient(platform);
+    const rng = xoroshiro128plus((Date.now() ^ (process.pid << 16)) | 0);
+    this.random = () => uniformFloat64(rng);
+    this.membership = new Membership(platform, operator.leaseMs, this.state, this.log, {
+      onLead: () => this.lead(),
+      onLost: (why) => this.follow(why),
+      onLeader: () => undefined,
+    });
+    this.links = platform.peers.map(
+      (peer) =>
+        new PeerLink(
+          peer,
+          () => this.status(),
+          (s) => this.heard(s),
+        ),
+    );
+    this.users = new UserApi(
+      platform,
+      this.state,
+      () => this.types,
+      (id) => this.counts(id),
+    );
+    this.checkin = new Checkin(platform, this.membership, this.links, () => this.loop, this.log);
+  }
+
+  start(): void {
+    const { sockets } = this.platform.limits;
+    const limits = { connections: Math.floor(sockets * 0.6), idleMs: 60_000, bodyBytes: 64 * 1024 };
+    const onPublic = httpConnections(limits, this.log, (q, reply) => void this.route(q, reply));
+    this.listen(this.platform.publicAddr, onPublic);
+    const inside = { connections: 16, idleMs: 10_000, bodyBytes: 1024 };
+    const onStatus = httpConnections(inside, this.log, (q, reply) => reply(this.inspect(q)));
+    // A frame's first byte is always 0, so a plain HTTP request for the status page is told apart by its first.
+    this.listen(this.platform.internalAddr, (socket) => {
+      socket.on('error', () => socket.destroy());
+      socket.once('data', (chunk) => {
+        socket.pause();
+        if (chunk[0] === 0) answerPeer(socket, (q) => this.answer(q));
+        else onStatus(socket);
+        socket.unshift(chunk);
+        socket.resume();
+      });
+    });
+    for (const link of this.links) link.start();
+    this.membership.start();
+    void this.keepTypes();
+    this.log.info({ zone: this.platform.zone }, 'started');
+  }
+
+  private listen(address: Address, onConnection: (s: Socket) => void): void {
+    const server = createServer(onConnection);
+    server.on('error', (e) => {
+      this.log.error({ cause: e.message, ...address }, 'cannot listen');
+      process.exit(1);
+    });
+    server.listen(address.port, address.host);
+  }
+
+  // ---- public requests -------------------------------------------------------------------------------------
+
+  private async route(q: HttpMessage, reply: (r: HttpReply) => void): Promise<void> {
+    const began = performance.now();
+    const record = (which: 'user' | 'report'): void =>
+      this.times[which].record(Math.max(1, Math.round((performance.now() - began) * 1000)));
+    try {
+      if (q.target === '/checkin') {
+        reply(q.method === 'POST' ? await this.checkin.handle(q.body) : { status: 405 });
+        record('report');
+        return;
+      }
+      if (q.target === '/up') {
+        reply({ status: this.healthy() ? 200 : 503 });
+        return;
+      }
+      // The stage is full: the user is told at once when to come back.
+      if (this.userRequests >= MAX_USER_REQUESTS) {
+        this.refused++;
+        reply({ status: 503, retryAfterS: 1 });
+        return;
+      }
+      this.userRequests++;
+      try {
+        reply(await this.users.handle(q));
+        record('user');
+      } finally {
+        this.userRequests--;
+      }
+    } catch (e) {
+      // A fault in one request must not end the controller.
+      this.log.limited(
+        'fault',
+        'error',
+        { cause: e instanceof Error ? e.stack : String(e) },
+        'request failed',
+      );
+      reply({ status: 503, retryAfterS: 1 });
+    }
+  }
+
+  private stateOk(): boolean {
+    return performance.now() - this.state.lastAnswerAt < STATE_FRESH_MS;
+  }
+
+  /** While the state service is down for everybody, leaving the load balancer would only delay the return. */
+  private healthy(): boolean {
+    if (this.types.length === 0) return false;
+    if (this.stateOk()) return true;
+    const now = performance.now();
+    return this.state.lastAnswerAt > -Infinity && !this.links.some((l) => l.alive(now) && l.status?.stateOk);
+  }
+
+  // ---- peers -----------------------------------------------------------------------------------------------
+
+  private status(): PeerStatus {
+    const { authority } = this.membership;
+    return {
+      node: this.platform.name,
+      leading: authority && this.loop !== null,
+      term: highestTerm(this.membership.election),
+      stateOk: this.stateOk(),
+    };
+  }
+
+  private heard(s: PeerStatus): void {
+    if (s.leading) this.membership.learn(s.node, s.term);
+  }
+
+  private async answer(q: PeerRequest): Promise<PeerResponse> {
+    switch (q.kind) {
+      case 'heartbeat':
+        this.heard(q.from);
+        return { status: this.status() };
+      case 'relay': {
+        if (!this.membership.holdsLease) return {};
+        const r = await this.checkin.handle(Buffer.from(q.report));
+        return { status: r.status, body: r.body ?? Buffer.alloc(0) };
+      }
+      case 'counts':
+        return { counts: this.ownCounts(q.job as JobId) };
+      default:
+        return {};
+    }
+  }
+
+  private ownCounts(id: JobId): { done: number; running: number } | null {
+    const job = this.loop?.core?.jobs.get(id);
+    return job ? { done: job.doneCount, running: job.runningCount } : null;
+  }
+
+  /** Counts are for display only: without the leader they are left at zero. */
+  private async counts(id: JobId): Promise<{ done: number; running: number } | null> {
+    if (this.loop) return this.ownCounts(id);
+    const now = performance.now();
+    const link = this.links.find((l) => l.alive(now) && l.status?.leading);
+    const a = await link?.ask({ kind: 'counts', job: id }, 500);
+    const c = a?.['counts'] as { done: number; running: number } | null | undefined;
+    return c && typeof c.done === 'number' && typeof c.running === 'number' ? c : null;
+  }
+
+  private inspect(q: HttpMessage): HttpReply {
+    if (q.method !== 'GET' || q.target !== '/queue') return { status: 404 };
+    const stage = (h: ReturnType<typeof createHistogram>) => ({
+      count: h.count,
+      p50Ms: h.percentile(50) / 1000,
+      p99Ms: h.percentile(99) / 1000,
+    });
+    const body = {
+      ...this.status(),
+      requests: { open: this.userRequests, refused: this.refused, ...stage(this.times.user) },
+      reports: stage(this.times.report),
+      queue: this.loop?.core?.status() ?? null,
+    };
+    return { status: 200, body: encode(JSON.parse(JSON.stringify(body))) };
+  }
+
+  // ---- leadership ------------------------------------------------------------------------------------------
+
+  private lead(): void {
+    this.loop?.stop();
+    this.state.setShare(0.5);
+    const { platform, operator, membership, state, cloud, log, random } = this;
+    this.loop = new LeaderLoop(platform, operator, membership, state, cloud, log, random, () => this.types);
+    void this.loop.start();
+  }
+
+  private follow(why: string): void {
+    this.log.info({ why }, 'leadership lost');
+    this.loop?.stop();
+    this.loop = null;
+    this.state.setShare(0.25);
+  }
+
+  /** Machine types: from the cloud, or while it doesn't answer, from what a leader has kept. */
+  private async keepTypes(): Promise<void> {
+    for (;;) {
+      if (this.types.length === 0) {
+        const kept = await this.state.get(keys.types, reserves.urgent);
+        if (kept.kind === 'ok' && this.types.length === 0)
+          this.setTypes(parseStoredTypes(kept.value.data) ?? []);
+      }
+      if (this.types.length === 0 || this.membership.holdsLease) {
+        const fresh = await this.cloud.types();
+        if (fresh && fresh.length > 0) {
+          this.setTypes(fresh);
+          await this.storeTypes(fresh);
+        }
+      }
+      await sleep(this.types.length === 0 ? 700 : TYPES_REFRESH_MS);
+    }
+  }
+
+  private setTypes(types: MachineType[]): void {
+    this.types = types;
+    this.loop?.setTypes(types);
+  }
+
+  private async storeTypes(types: MachineType[]): Promise<void> {
+    const held = this.membership.election.held;
+    if (!held) return;
+    await this.state.transact({
+      if: [{ key: keys.leader, stamp: held.keyStamp }],
+      then: [{ put: keys.types, data: types }],
+    });
+  }
+}
--- /dev/null
+++ b/src/runtime/leader-loop.ts
@@ -0,0 +1,326 @@
+// Runs a core Leader: loads what the state service holds, carries out effects, feeds back their outcomes.
+import { HttpClient } from './http-client.js';
+import type { CloudClient } from './cloud-client.js';
+import type { Logger } from './logger.js';
+import type { Membership } from './membership.js';
+import { reserves, type StateClient } from './state-client.js';
+import { parseAddress, type Platform } from '../config/platform.js';
+import type { Operator } from '../config/operator.js';
+import { Leader, type Effect } from '../core/leader.js';
+import type { MachineType, Report } from '../core/types.js';
+import type { Counter, Endpoint, JobId, MachineId, Steady, WallTime } from '../core/units.js';
+import { encode, tryDecode } from '../wire/cbor.js';
+import * as wire from '../wire/state.js';
+import { ordersBody, parseReport } from '../wire/workers.js';
+
+const steady = (): Steady => performance.now() as Steady;
+const wall = (): WallTime => Date.now() as WallTime;
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+const EVENT_DELAY_MS = 25;
+const ORDER_TIMEOUT_MS = 2500;
+const WATCH_MS = 10_000;
+const RENT_RETRY_MS = 1200;
+
+export class LeaderLoop {
+  private leader: Leader | null = null;
+  private ended = false;
+  private queued = false;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly workers = new Map<Endpoint, HttpClient>();
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly operator: Operator,
+    private readonly membership: Membership,
+    private readonly state: StateClient,
+    private readonly cloud: CloudClient,
+    private readonly log: Logger,
+    private readonly random: () => number,
+    private readonly types: () => MachineType[],
+  ) {}
+
+  get core(): Leader | null {
+    return this.leader;
+  }
+
+  async start(): Promise<void> {
+    const held = this.membership.election.held;
+    if (!held) return;
+    const startedAt = steady();
+    const leader = new Leader(
+      { term: held.term, keyStamp: held.keyStamp },
+      {
+        workers: this.platform.workers,
+        teams: this.platform.teams,
+        idleHoldS: this.operator.idleHoldS,
+        capacityRetryS: this.operator.capacityRetryS,
+        txnOps: this.platform.stateLimits.txnOps,
+        listLagS: this.platform.cloudLimits.listLagS,
+        random: this.random,
+      },
+      startedAt,
+    );
+    leader.setTypes(this.types());
+    const roster = await this.load(wire.keys.rosterPrefix);
+    const jobs = await this.load(wire.keys.activePrefix);
+    const progress = await this.load(wire.keys.progressPrefix);
+    if (!roster || !jobs || !progress || this.ended) return;
+    for (const item of roster.items) {
+      const m = wire.parseMachine(item.data);
+      if (m) leader.loadMachine(m, startedAt);
+    }
+    for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
+    for (const item of progress.items) {
+      const [, id, chunk] = item.key.split('/');
+      const bits = wire.parseProgress(item.data);
+      if (bits !== null) leader.loadProgress(id as JobId, Number(chunk), Buffer.from(bits, 'base64'));
+    }
+    this.leader = leader;
+    this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
+    this.timers.push(setInterval(() => this.tick(), this.operator.cycleMs));
+    void this.watchJobs(jobs.ledger);
+    void this.pollCloud();
+  }
+
+  stop(): void {
+    this.ended = true;
+    this.leader = null;
+    for (const t of this.timers) clearInterval(t);
+    for (const w of this.workers.values()) w.close();
+  }
+
+  report(report: Report): ReturnType<Leader['onReport']> {
+    const commands = this.leader?.onReport(report, steady()) ?? [];
+    this.soon();
+    return commands;
+  }
+
+  setTypes(types: MachineType[]): void {
+    this.leader?.setTypes(types);
+  }
+
+  private async load(prefix: string) {
+    while (!this.ended) {
+      const r = await this.state.list(prefix);
+      if (r.kind === 'ok') return r.value;
+      await sleep(200);
+    }
+    return null;
+  }
+
+  private learn(leader: Leader, key: string, data: unknown, stamp: Counter, inherited: boolean): void {
+    const record = wire.parseJobRecord(data);
+    const id = key.slice(wire.keys.activePrefix.length) as JobId;
+    if (record) leader.learnJob(id, record, stamp, inherited, steady(), wall());
+    else this.log.error({ key }, 'damaged job record, not placed');
+  }
+
+  private async watchJobs(from: Counter): Promise<void> {
+    let since = from;
+    while (!this.ended) {
+      const r = await this.state.watch(wire.keys.activePrefix, since, WATCH_MS);
+      if (this.ended || !this.leader) return;
+      if (r.kind === 'ok') {
+        since = r.value.ledger;
+        for (const e of r.value.log) {
+          if ('put' in e) this.learn(this.leader, e.put, e.data, e.stamp, false);
+        }
+        if (r.value.log.length > 0) this.soon();
+      } else if (r.kind === 'gone') {
+        const all = await this.load(wire.keys.activePrefix);
+        if (!all || !this.leader) return;
+        for (const item of all.items) this.learn(this.leader, item.key, item.data, item.stamp, false);
+        since = all.ledger;
+      } else {
+        await sleep(250);
+      }
+    }
+  }
+
+  private async pollCloud(): Promise<void> {
+    const interval = Math.max(2000, 4000 / this.platform.cloudLimits.rps);
+    while (!this.ended) {
+      if (this.membership.authority) {
+        const listed = await this.cloud.list();
+        if (listed) this.leader?.onList(listed, steady());
+      }
+      await sleep(interval);
+    }
+  }
+
+  /** Runs the loop soon: events that come together share one cycle. */
+  private soon(): void {
+    if (this.queued) return;
+    this.queued = true;
+    setTimeout(() => {
+      this.queued = false;
+      this.tick();
+    }, EVENT_DELAY_MS);
+  }
+
+  private tick(): void {
+    const leader = this.leader;
+    // Without authority nothing is decided: another controller may lead already.
+    if (!leader || this.ended || !this.membership.authority) return;
+    leader.tick(steady(), wall());
+    for (const e of leader.takeEffects()) this.carryOut(leader, e);
+  }
+
+  private carryOut(leader: Leader, e: Effect): void {
+    switch (e.kind) {
+      case 'log':
+        this.log[e.level](e.fields, e.text);
+        return;
+      case 'finish':
+        void this.finish(leader, e);
+        return;
+      case 'progress':
+        void this.progress(leader, e);
+        return;
+      case 'enroll':
+        void this.enroll(leader, e);
+        return;
+      case 'unenroll':
+        void this.unenroll(e.machines);
+        return;
+      case 'rent':
+        void this.rent(leader, e);
+        return;
+      case 'return':
+        void this.cloud.giveBack(e.machines).then((ok) => {
+          leader.onReturned(e.machines, ok, steady());
+          this.log.info({ machines: e.machines, ok }, 'machines given back');
+          this.soon();
+        });
+        return;
+      case 'orders':
+        void this.order(leader, e);
+        return;
+    }
+  }
+
+  /** Every write of a leader depends on its leader key: a late one from a former leader fails. */
+  private async write(then: wire.Change[], conditions: wire.Condition[] = [], reserve = reserves.urgent) {
+    const held = this.membership.election.held;
+    if (!held || this.ended) return { kind: 'refused' } as const;
+    const guard = { key: wire.keys.leader, stamp: held.keyStamp };
+    const r = await this.state.transact({ if: [guard, ...conditions], then }, reserve);
+    if (r.kind === 'conflict' && r.failed.includes(wire.keys.leader)) {
+      this.membership.deposed();
+      return { kind: 'refused' } as const;
+    }
+    return r;
+  }
+
+  private async finish(leader: Leader, e: Extract<Effect, { kind: 'finish' }>): Promise<void> {
+    const { keys } = wire;
+    const r = await this.write(
+      [
+        { put: keys.final(e.job), data: { state: e.state, tasks: e.tasks } },
+        { delete: keys.active(e.job) },
+        ...e.chunks
+          .slice(0, this.platform.stateLimits.txnOps - 2)
+          .map((c) => ({ delete: keys.progress(e.job, c) })),
+      ],
+      [{ key: keys.active(e.job), stamp: e.stamp }],
+    );
+    if (this.ended) return;
+    if (r.kind === 'ok') {
+      leader.onFinished(e.job, { kind: 'ok' }, steady());
+      this.soon();
+    } else if (r.kind === 'conflict') {
+      await this.reread(leader, e.job);
+    } else {
+      leader.onFinished(e.job, { kind: 'retry' }, steady());
+    }
+  }
+
+  /** The record changed under us: a cancellation came first, or our own lost write was carried out. */
+  private async reread(leader: Leader, job: JobId): Promise<void> {
+    const active = await this.state.get(wire.keys.active(job), reserves.urgent);
+    const record = active.kind === 'ok' ? wire.parseJobRecord(active.value.data) : null;
+    if (active.kind === 'ok' && record) {
+      leader.onFinished(job, { kind: 'changed', record, stamp: active.value.stamp }, steady());
+      return;
+    }
+    const final = active.kind === 'gone' ? await this.state.get(wire.keys.final(job), reserves.urgent) : null;
+    leader.onFinished(job, { kind: final?.kind === 'ok' ? 'ok' : 'retry' }, steady());
+  }
+
+  private async progress(leader: Leader, e: Extract<Effect, { kind: 'progress' }>): Promise<void> {
+    const data = { bits: Buffer.from(e.bytes).toString('base64') };
+    const r = await this.write([{ put: wire.keys.progress(e.job, e.chunk), data }], [], reserves.normal);
+    leader.onProgress(e.job, e.chunk, e.bytes, r.kind === 'ok');
+  }
+
+  private async enroll(leader: Leader, e: Extract<Effect, { kind: 'enroll' }>): Promise<void> {
+    const r = await this.write(e.machines.map((m) => ({ put: wire.keys.machine(m.id), data: m })));
+    leader.onEnrolled(
+      e.machines.map((m) => m.id),
+      r.kind === 'ok',
+    );
+    if (r.kind !== 'ok')
+      this.log.limited('enroll', 'info', { outcome: r.kind }, 'roster not written, tried again');
+    this.soon();
+  }
+
+  private async unenroll(ids: MachineId[]): Promise<void> {
+    for (let rest = ids; rest.length > 0 && !this.ended;) {
+      const some = rest.slice(0, this.platform.stateLimits.txnOps);
+      const r = await this.write(
+        some.map((id) => ({ delete: wire.keys.machine(id) })),
+        [],
+        reserves.normal,
+      );
+      if (r.kind === 'ok') rest = rest.slice(some.length);
+      else await sleep(500);
+    }
+  }
+
+  private async rent(leader: Leader, e: Extract<Effect, { kind: 'rent' }>): Promise<void> {
+    const r = await this.cloud.rent({ request: e.request, ...e.order });
+    if (this.ended) return;
+    if (r.kind === 'rented') leader.onRented(e.request, { machines: r.machines }, steady());
+    else if (r.kind === 'no-capacity') leader.onRented(e.request, 'no-capacity', steady());
+    else {
+      await sleep(RENT_RETRY_MS);
+      if (!this.ended) leader.onRented(e.request, 'retry', steady());
+    }
+    this.soon();
+  }
+
+  private async order(leader: Leader, e: Extract<Effect, { kind: 'orders' }>): Promise<void> {
+    let client = this.workers.get(e.endpoint);
+    if (!client) {
+      client = new HttpClient(parseAddress(e.endpoint), 2, 10_000, 1 << 20);
+      this.workers.set(e.endpoint, client);
+      if (this.workers.size > 400) this.dropWorkers(leader);
+    }
+    const body = encode(ordersBody(leader.leadership.term, e.session, e.commands));
+    const r = await client.request('POST', '/orders', body, ORDER_TIMEOUT_MS);
+    if (this.ended) return;
+    if (!r.ok) {
+      leader.onOrdersAnswer(e.machine, e.commands, { kind: r.sent ? 'unknown' : 'unsent' }, steady());
+    } else {
+      const report = parseReport(tryDecode(r.body));
+      const kind = r.status === 200 ? 'executed' : 'refused';
+      leader.onOrdersAnswer(
+        e.machine,
+        e.commands,
+        { kind, report: report.ok ? report.value : null },
+        steady(),
+      );
+    }
+    this.soon();
+  }
+
+  /** Clients of machines that are gone. */
+  private dropWorkers(leader: Leader): void {
+    const live = new Set([...leader.machines.values()].map((m) => m.info.endpoint));
+    for (const [endpoint, client] of this.workers) {
+      if (live.has(endpoint)) continue;
+      client.close();
+      this.workers.delete(endpoint);
+    }
+  }
+}
--- /dev/null
+++ b/src/runtime/peer-link.ts
@@ -0,0 +1,175 @@
+// Links between controllers: length-prefixed CBOR frames. Each controller dials every peer, asks there, and
+// answers what the peers ask on their own connections.
+import { connect, type Socket } from 'node:net';
+import type { Platform } from '../config/platform.js';
+import type { NodeName, Term, Zone } from '../core/units.js';
+import { encode, tryDecode } from '../wire/cbor.js';
+
+const MAX_FRAME = 256 * 1024;
+const HEARTBEAT_MS = 400;
+const ALIVE_MS = 2000;
+const REDIAL_MS = 500;
+const DIAL_TIMEOUT_MS = 1500;
+const MAX_OPEN = 64;
+
+export interface PeerStatus {
+  node: NodeName;
+  leading: boolean;
+  term: Term;
+  stateOk: boolean;
+}
+export type PeerRequest =
+  | { kind: 'heartbeat'; from: PeerStatus }
+  | { kind: 'relay'; report: Uint8Array }
+  | { kind: 'counts'; job: string };
+export type PeerResponse = Record<string, unknown>;
+
+interface Frame {
+  i: number;
+  q?: PeerRequest;
+  a?: PeerResponse;
+}
+
+const frame = (f: Frame): Buffer => {
+  const body = encode(f);
+  const head = Buffer.alloc(4);
+  head.writeUInt32BE(body.length);
+  return Buffer.concat([head, body]);
+};
+
+/** Splits a byte stream into frames; null once it is broken. */
+class FrameReader {
+  private buffer: Buffer = Buffer.alloc(0);
+
+  push(chunk: Buffer): Frame[] | null {
+    this.buffer = this.buffer.length === 0 ? chunk : Buffer.concat([this.buffer, chunk]);
+    const out: Frame[] = [];
+    while (this.buffer.length >= 4) {
+      const length = this.buffer.readUInt32BE(0);
+      if (length > MAX_FRAME) return null;
+      if (this.buffer.length < 4 + length) break;
+      const value = tryDecode(this.buffer.subarray(4, 4 + length));
+      this.buffer = this.buffer.subarray(4 + length);
+      if (typeof value !== 'object' || value === null || typeof (value as Frame).i !== 'number') return null;
+      out.push(value as Frame);
+    }
+    return out;
+  }
+}
+
+export const answerPeer = (socket: Socket, handle: (q: PeerRequest) => Promise<PeerResponse>): void => {
+  const reader = new FrameReader();
+  let open = 0;
+  socket.on('data', (chunk) => {
+    const frames = reader.push(chunk);
+    if (frames === null) {
+      socket.destroy();
+      return;
+    }
+    for (const f of frames) {
+      if (!f.q || typeof f.q !== 'object') continue;
+      if (open >= MAX_OPEN) continue; // a peer that asks faster than we answer is not answered
+      open++;
+      const { i } = f;
+      void handle(f.q).then((a) => {
+        open--;
+        if (!socket.destroyed) socket.write(frame({ i, a }));
+      });
+    }
+  });
+  socket.on('error', () => socket.destroy());
+};
+
+export class PeerLink {
+  private socket: Socket | null = null;
+  private connected = false;
+  private nextId = 1;
+  private readonly waiting = new Map<number, (a: PeerResponse | null) => void>();
+  status: PeerStatus | null = null;
+  private heardAt = -Infinity;
+  private heartbeatOpen = false;
+
+  constructor(
+    readonly peer: Platform['peers'][number],
+    private readonly own: () => PeerStatus,
+    private readonly onStatus: (s: PeerStatus) => void,
+  ) {}
+
+  get name(): NodeName {
+    return this.peer.name;
+  }
+
+  get zone(): Zone {
+    return this.peer.zone;
+  }
+
+  alive(now: number): boolean {
+    return now - this.heardAt < ALIVE_MS;
+  }
+
+  start(): void {
+    this.dial();
+    setInterval(() => void this.heartbeat(), HEARTBEAT_MS);
+  }
+
+  ask(q: PeerRequest, timeoutMs: number): Promise<PeerResponse | null> {
+    return new Promise((resolve) => {
+      const socket = this.socket;
+      if (!socket || !this.connected || this.waiting.size >= MAX_OPEN) {
+        resolve(null);
+        return;
+      }
+      const i = this.nextId++;
+      const timer = setTimeout(() => finish(null), timeoutMs);
+      const finish = (a: PeerResponse | null): void => {
+        clearTimeout(timer);
+        this.waiting.delete(i);
+        resolve(a);
+      };
+      this.waiting.set(i, finish);
+      socket.write(frame({ i, q }));
+    });
+  }
+
+  private async heartbeat(): Promise<void> {
+    if (this.heartbeatOpen) return;
+    this.heartbeatOpen = true;
+    const a = await this.ask({ kind: 'heartbeat', from: this.own() }, ALIVE_MS);
+    this.heartbeatOpen = false;
+    if (a === null) {
+      // A connection that stopped answering may sit behind a cut: a new one works as soon as the cut ends.
+      if (this.connected && !this.alive(performance.now())) this.socket?.destroy();
+      return;
+    }
+    const status = a['status'] as PeerStatus | undefined;
+    if (!status || typeof status.term !== 'number') return;
+    this.heardAt = performance.now();
+    this.status = status;
+    this.onStatus(status);
+  }
+
+  private dial(): void {
+    const socket = connect({ ...this.peer.address, noDelay: true });
+    this.socket = socket;
+    const reader = new FrameReader();
+    const timer = setTimeout(() => {
+      if (!this.connected) socket.destroy();
+    }, DIAL_TIMEOUT_MS);
+    socket.on('connect', () => {
+      this.connected = true;
+      void this.heartbeat();
+    });
+    socket.on('data', (chunk) => {
+      const frames = reader.push(chunk);
+      if (frames === null) socket.destroy();
+      else for (const f of frames) this.waiting.get(f.i)?.(f.a ?? null);
+    });
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      clearTimeout(timer);
+      this.connected = false;
+      for (const finish of [...this.waiting.values()]) finish(null);
+      setTimeout(() => this.dial(), REDIAL_MS);
+    });
+  }
+}
--- /dev/null
+++ b/src/runtime/state-client.ts
@@ -0,0 +1,135 @@
+import { HttpClient } from './http-client.js';
+import { Budget } from './budget.js';
+import type { Platform } from '../config/platform.js';
+import type { Counter, Stamp } from '../core/units.js';
+import { encode, tryDecode } from '../wire/cbor.js';
+import * as wire from '../wire/state.js';
+
+export type Outcome<T> =
+  | { kind: 'ok'; value: T }
+  | { kind: 'refused' } // certainly not carried out: 429, 503, over our budget, never sent
+  | { kind: 'unknown' } // no answer: may have been carried out, or may yet be
+  | { kind: 'gone' }; // 404 or 410
+export type TxnOutcome =
+  | { kind: 'ok'; stamp: Stamp }
+  | { kind: 'conflict'; failed: string[] }
+  | { kind: 'lease-gone' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+
+const TIMEOUT_MS = 1200;
+/** What remains in the buckets for callers that must not be starved. */
+export const reserves = { urgent: 0, normal: 2, low: 6 };
+
+export class StateClient {
+  private readonly calls: HttpClient;
+  private readonly watches: HttpClient;
+  private readonly requests: Budget;
+  private readonly writes: Budget;
+  /** Steady time of the last answer that was not an error; tells an outage from a quiet time. */
+  lastAnswerAt = -Infinity;
+
+  constructor(private readonly platform: Platform) {
+    this.calls = new HttpClient(platform.state, 8, 20_000);
+    this.watches = new HttpClient(platform.state, 4, 20_000);
+    const now = performance.now();
+    this.requests = new Budget(1, 1, now);
+    this.writes = new Budget(1, 1, now);
+    this.setShare(1 / 3);
+  }
+
+  /** The limits hold for all controllers together, so each one keeps to a share of them. */
+  setShare(share: number): void {
+    const { rps, writeRps } = this.platform.stateLimits;
+    const now = performance.now();
+    this.requests.setRate(rps * share * 0.9, Math.max(4, rps * share * 0.9), now);
+    this.writes.setRate(writeRps * share * 0.9, Math.max(4, writeRps * share * 0.9), now);
+  }
+
+  async get(key: string, reserve = reserves.normal): Promise<Outcome<wire.Item>> {
+    return this.read(`/store/${key}`, wire.parseItem, reserve);
+  }
+
+  async list(prefix: string): Promise<Outcome<{ items: wire.Item[]; ledger: Counter }>> {
+    const items: wire.Item[] = [];
+    let since: string | null = null;
+    let ledger: Counter | null = null;
+    for (;;) {
+      const page: Outcome<NonNullable<ReturnType<typeof wire.parseItems>>> = await this.read(
+        wire.listTarget(prefix, since, 1000),
+        wire.parseItems,
+        reserves.urgent,
+      );
+      if (page.kind !== 'ok') return page;
+      items.push(...page.value.items);
+      ledger ??= page.value.ledger; // the first page's: a watch from there misses nothing
+      const last = page.value.items.at(-1);
+      if (!page.value.more || !last) return { kind: 'ok', value: { items, ledger } };
+      since = last.key;
+    }
+  }
+
+  async transact(t: wire.Transaction, reserve = reserves.normal): Promise<TxnOutcome> {
+    const now = performance.now();
+    if (!this.writes.take(t.then.length, now, reserve)) return { kind: 'refused' };
+    if (!this.requests.take(1, now, reserve)) return { kind: 'refused' };
+    const r = await this.calls.request('POST', '/multi', encode(wire.transactionBody(t)), TIMEOUT_MS);
+    if (!r.ok) return r.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    const body = tryDecode(r.body);
+    if (r.status === 200) {
+      const c = wire.parseCommitted(body);
+      this.lastAnswerAt = performance.now();
+      return c ? { kind: 'ok', stamp: c.ledger } : { kind: 'unknown' };
+    }
+    if (r.status === 409) {
+      this.lastAnswerAt = performance.now();
+      return { kind: 'conflict', failed: wire.parseConflict(body)?.failed ?? [] };
+    }
+    if (r.status === 400) return { kind: 'lease-gone' };
+    return { kind: 'refused' };
+  }
+
+  async lease(ttlMs: number): Promise<Outcome<Counter>> {
+    const r = await this.calls.request('POST', '/leases', encode(wire.leaseBody(ttlMs)), TIMEOUT_MS);
+    return this.outcome(r, wire.parseLease);
+  }
+
+  /** Renewals pass the budget by: nothing may starve them. */
+  async extend(lease: Counter): Promise<Outcome<true>> {
+    const r = await this.calls.request('POST', `/leases/${lease}/extend`, null, TIMEOUT_MS);
+    return this.outcome(r, () => true as const);
+  }
+
+  async endLease(lease: Counter): Promise<void> {
+    await this.calls.request('DELETE', `/leases/${lease}`, null, TIMEOUT_MS);
+  }
+
+  async watch(prefix: string, since: Counter, waitMs: number) {
+    const r = await this.watches.request('GET', wire.watchTarget(prefix, since, waitMs), null, waitMs + 3000);
+    return this.outcome(r, wire.parseEvents);
+  }
+
+  private async read<T>(
+    target: string,
+    parse: (raw: unknown) => T | null,
+    reserve: number,
+  ): Promise<Outcome<T>> {
+    if (!this.requests.take(1, performance.now(), reserve)) return { kind: 'refused' };
+    return this.outcome(await this.calls.request('GET', target, null, TIMEOUT_MS), parse);
+  }
+
+  private outcome<T>(
+    r: Awaited<ReturnType<HttpClient['request']>>,
+    parse: (raw: unknown) => T | null,
+  ): Outcome<T> {
+    if (!r.ok) return r.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    if (r.status === 404 || r.status === 410) {
+      this.lastAnswerAt = performance.now();
+      return { kind: 'gone' };
+    }
+    if (r.status !== 200 && r.status !== 201) return { kind: 'refused' };
+    const value = parse(r.body.length === 0 ? {} : tryDecode(r.body));
+    this.lastAnswerAt = performance.now();
+    return value === null ? { kind: 'unknown' } : { kind: 'ok', value };
+  }
+}
--- /dev/null
+++ b/src/wire/state.ts
@@ -0,0 +1,124 @@
+// The state service's side: reads, transactions, leases, watches; and how our records are laid out in it.
+import * as v from 'valibot';
+import { counter, integer, parseWith, text } from './common.js';
+import type { FinalRecord, JobRecord, JobSpec, MachineInfo, MachineType } from '../core/types.js';
+import type { Counter, JobId, MachineId, NodeName, Stamp, Term, WallTime } from '../core/units.js';
+
+export interface Condition {
+  key: string;
+  stamp: Stamp;
+}
+export type Change = { put: string; data: unknown; lease?: Counter } | { delete: string };
+export interface Transaction {
+  if: Condition[];
+  then: Change[];
+}
+
+export const transactionBody = (t: Transaction) => ({
+  if: t.if.map((c) => ({ key: c.key, stamp: integer(c.stamp) })),
+  then: t.then.map((c) =>
+    'put' in c
+      ? c.lease === undefined
+        ? { put: c.put, data: c.data }
+        : { put: c.put, data: c.data, permit: integer(c.lease) }
+      : { delete: c.delete },
+  ),
+});
+
+const item = v.object({ key: text, data: v.unknown(), stamp: counter, permit: v.nullish(counter) });
+const items = v.object({ items: v.array(item), more: v.boolean(), ledger: counter });
+const committed = v.object({ ledger: counter });
+const conflict = v.object({ failed: v.array(text), ledger: counter });
+const leased = v.object({ permit: counter });
+const events = v.object({
+  ledger: counter,
+  log: v.array(
+    v.union([
+      v.object({ put: text, data: v.unknown(), stamp: counter }),
+      v.object({ delete: text, stamp: counter }),
+    ]),
+  ),
+});
+
+export type Item = v.InferOutput<typeof item>;
+export type ChangeEvent = v.InferOutput<typeof events>['log'][number];
+
+const orNull = <S extends v.GenericSchema>(schema: S, raw: unknown): v.InferOutput<S> | null => {
+  const r = parseWith(schema, raw);
+  return r.ok ? r.value : null;
+};
+export const parseItem = (raw: unknown) => orNull(item, raw);
+export const parseItems = (raw: unknown) => orNull(items, raw);
+export const parseCommitted = (raw: unknown) => orNull(committed, raw);
+export const parseConflict = (raw: unknown) => orNull(conflict, raw);
+export const parseLease = (raw: unknown) => orNull(leased, raw)?.permit ?? null;
+export const parseEvents = (raw: unknown) => orNull(events, raw);
+
+export const listTarget = (prefix: string, since: string | null, most: number) =>
+  `/store?under=${prefix}${since === null ? '' : `&since=${since}`}&most=${most}`;
+export const watchTarget = (prefix: string, since: Counter, waitMs: number) =>
+  `/changes?under=${prefix}&since=${since}&blockMs=${waitMs}`;
+export const leaseBody = (ttlMs: number) => ({ ttlMs });
+
+export const keys = {
+  leader: 'l/leader',
+  term: 'l/term',
+  types: 'c/types',
+  activePrefix: 'j/',
+  progressPrefix: 'p/',
+  rosterPrefix: 'm/',
+  leaderPrefix: 'l/',
+  active: (id: JobId) => `j/${id}`,
+  final: (id: JobId) => `f/${id}`,
+  progress: (id: JobId, chunk: number) => `p/${id}/${chunk}`,
+  machine: (id: MachineId) => `m/${id}`,
+};
+
+// Our own records are written by us alone, but a damaged one must not crash a controller: shapes are checked.
+const spec = v.object({
+  id: text,
+  class: text,
+  team: text,
+  kind: v.picklist(['array', 'gang', 'service']),
+  priority: v.picklist(['production', 'high', 'normal', 'low']),
+  tasks: v.number(),
+  cpus: v.number(),
+  gpus: v.number(),
+  memoryGb: v.number(),
+  image: text,
+  imageGb: v.number(),
+  types: v.nullable(v.array(text)),
+  zone: v.nullable(text),
+  oneZone: v.boolean(),
+  spread: v.boolean(),
+  spot: v.boolean(),
+  estimateS: v.number(),
+  checkpointS: v.number(),
+  saveS: v.number(),
+  deadlineS: v.nullable(v.number()),
+});
+const jobRecord = v.object({ spec, submittedAt: v.number(), cancelledAt: v.nullable(v.number()) });
+const finalRecord = v.object({ state: v.picklist(['done', 'withdrawn']), tasks: v.number() });
+const leaderRecord = v.object({ node: text, term: v.number() });
+const termRecord = v.object({ term: v.number() });
+const machineRecord = v.object({ id: text, endpoint: text, type: text, zone: text, spot: v.boolean() });
+const progressRecord = v.object({ bits: v.string() });
+
+export const parseJobRecord = (raw: unknown): JobRecord | null => {
+  const r = orNull(jobRecord, raw);
+  return r === null
+    ? null
+    : {
+        spec: r.spec as unknown as JobSpec,
+        submittedAt: r.submittedAt as WallTime,
+        cancelledAt: r.cancelledAt as WallTime | null,
+      };
+};
+export const parseFinal = (raw: unknown): FinalRecord | null => orNull(finalRecord, raw);
+export const parseLeader = (raw: unknown) =>
+  orNull(leaderRecord, raw) as { node: NodeName; term: Term } | null;
+export const parseTerm = (raw: unknown) => (orNull(termRecord, raw)?.term ?? null) as Term | null;
+export const parseMachine = (raw: unknown) => orNull(machineRecord, raw) as MachineInfo | null;
+export const parseProgress = (raw: unknown) => orNull(progressRecord, raw)?.bits ?? null;
+export const parseStoredTypes = (raw: unknown): MachineType[] | null =>
+  (orNull(v.array(v.record(v.string(), v.unknown())), raw) as unknown as MachineType[] | null) ?? null;
--- /dev/null
+++ b/src/wire/workers.ts
@@ -0,0 +1,103 @@
+// Workers' side: reports and commands.
+import * as v from 'valibot';
+import { amount, counter, integer, parseWith, safeCount, text } from './common.js';
+import type { Command, ExitCause, Report, ReportedTask, TaskState } from '../core/types.js';
+import type {
+  Attempt,
+  Counter,
+  Endpoint,
+  JobId,
+  MachineId,
+  NodeName,
+  TypeName,
+  Zone,
+} from '../core/units.js';
+
+const states: Record<string, TaskState> = {
+  pulling: 'fetching',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+
+const schema = v.object({
+  stall: text,
+  endpoint: text,
+  breed: text,
+  pasture: text,
+  loaners: v.boolean(),
+  shift: counter,
+  tally: counter,
+  reins: counter,
+  recallS: v.nullish(amount),
+  hands: v.array(
+    v.object({
+      hand: v.pipe(v.string(), v.regex(/^[^\s/]+\/\d{1,6}$/)),
+      try: safeCount,
+      status: v.picklist(['pulling', 'waiting', 'running', 'saving', 'exited']),
+      cause: v.nullish(
+        v.picklist(['done', 'stopped', 'peers', 'incomplete', 'error', 'no_room', 'in_use', 'no_such']),
+      ),
+      stored: v.nullish(v.boolean()),
+    }),
+  ),
+});
+
+const parseTask = (t: v.InferOutput<typeof schema>['hands'][number]): ReportedTask => {
+  const slash = t.hand.indexOf('/');
+  return {
+    job: t.hand.slice(0, slash) as JobId,
+    index: Number(t.hand.slice(slash + 1)),
+    attempt: t.try as Attempt,
+    state: states[t.status]!,
+    cause: (t.cause ?? null) as ExitCause | null,
+    saved: t.stored ?? false,
+  };
+};
+
+export const parseReport = (raw: unknown): { ok: true; value: Report } | { ok: false; cause: string } => {
+  const r = parseWith(schema, raw);
+  if (!r.ok) return r;
+  const m = r.value;
+  return {
+    ok: true,
+    value: {
+      id: m.stall as MachineId,
+      endpoint: m.endpoint as Endpoint,
+      type: m.breed as TypeName,
+      zone: m.pasture as Zone,
+      spot: m.loaners,
+      session: m.shift,
+      seq: m.tally,
+      token: m.reins,
+      noticeS: m.recallS ?? null,
+      tasks: m.hands.map(parseTask),
+    },
+  };
+};
+
+const encodeCommand = (c: Command): Record<string, unknown> => {
+  const base = { hand: `${c.job}/${c.index}`, try: integer(c.attempt) };
+  switch (c.op) {
+    case 'start':
+      return { call: 'run', ...base };
+    case 'stop':
+      return { call: 'kill', ...base, slackS: c.graceS };
+    case 'forget':
+      return { call: 'reap', ...base };
+  }
+};
+
+export const reportAnswer = (token: Counter, commands: Command[]) => ({
+  reins: integer(token),
+  calls: commands.map(encodeCommand),
+});
+
+export const ordersBody = (token: Counter, session: Counter, commands: Command[]) => ({
+  reins: integer(token),
+  shift: integer(session),
+  calls: commands.map(encodeCommand),
+});
+
+export const redirectBody = (leader: NodeName | null) => (leader === null ? {} : { foreman: leader });
