--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -12,10 +12,9 @@
   a.memoryGb += b.memoryGb * factor;
 };
 const EPSILON = 1e-6;
+const enough = (need: number, free: number): boolean => need === 0 || need <= free + EPSILON;
 export const fits = (need: Amounts, free: Amounts): boolean =>
-  need.cpus <= free.cpus + EPSILON &&
-  need.gpus <= free.gpus + EPSILON &&
-  need.memoryGb <= free.memoryGb + EPSILON;
+  enough(need.cpus, free.cpus) && enough(need.gpus, free.gpus) && enough(need.memoryGb, free.memoryGb);
 
 /** A machine as observed: rented, listed, or known by its worker's reports. */
 export class Machine {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -708,6 +708,7 @@
       usage: this.teamUsage(),
       teams: this.teams,
       now,
+      silentMs: this.settings.workers.reportS * 2500,
       maxTasks: MAX_TASKS_A_CYCLE,
     });
     for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
@@ -836,7 +837,7 @@
 
   /** Tells workers of new starts and stops at once, without waiting for their next report. */
   private poke(now: Steady): void {
-    for (const m of this.pokes) {
+    for (const m of [...this.pokes]) {
       if (m.orderOpen) continue;
       this.pokes.delete(m);
       if (!m.settled || !m.endpointKnown || this.machines.get(m.id) !== m) continue;
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -39,6 +39,7 @@
   usage: Map<Team, Amounts>;
   teams: Map<Team, TeamLimits>;
   now: Steady;
+  silentMs: number;
   /** Tasks considered for each array or service in one cycle: bounds the time a cycle takes. */
   maxTasks: number;
 }
@@ -98,6 +99,8 @@
 
   private addSlot(m: Machine): void {
     if (!m.schedulable || !m.type) return;
+    // A silent machine may be gone: nothing new goes there.
+    if (m.lastReportAt !== null && this.input.now - m.lastReportAt > this.input.silentMs) return;
     const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
     add(free, m.used(this.input.specOf), -1);
     const releasing = { cpus: 0, gpus: 0, memoryGb: 0 };
--- /dev/null
+++ b/src/test/http.test.ts
@@ -0,0 +1,104 @@
+import assert from 'node:assert/strict';
+import { createServer, connect, type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { HttpClient } from '../runtime/http-client.js';
+import { HttpError, HttpParser } from '../runtime/http-parser.js';
+import { httpConnections } from '../runtime/http-server.js';
+import { Logger } from '../runtime/logger.js';
+
+const limits = { headerBytes: 1024, headerCount: 10, bodyBytes: 100 };
+const parse = (text: string, kind: 'request' | 'response' = 'request') =>
+  new HttpParser(kind, limits).push(Buffer.from(text, 'latin1'));
+const refuses = (text: string, status: number): void => {
+  assert.throws(
+    () => parse(text),
+    (e) => e instanceof HttpError && e.status === status,
+    JSON.stringify(text),
+  );
+};
+
+test('a request is the same however it is cut into pieces', () => {
+  const text = 'POST /checkin HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhelloGET /up HTTP/1.1\r\n\r\n';
+  for (let size = 1; size < 12; size++) {
+    const parser = new HttpParser('request', limits);
+    const got = [];
+    for (let i = 0; i < text.length; i += size) got.push(...parser.push(Buffer.from(text.slice(i, i + size))));
+    assert.deepEqual(
+      got.map((m) => [m.method, m.target, m.body.toString()]),
+      [
+        ['POST', '/checkin', 'hello'],
+        ['GET', '/up', ''],
+      ],
+    );
+    assert.ok(parser.idle);
+  }
+});
+
+test('chunked bodies, and responses that run to the end of the connection', () => {
+  const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n';
+  assert.equal(parse(chunked, 'response')[0]!.body.toString(), 'abcde');
+  const parser = new HttpParser('response', limits);
+  assert.deepEqual(parser.push(Buffer.from('HTTP/1.1 200 OK\r\n\r\nab')), []);
+  assert.equal(parser.finish()?.body.toString(), 'ab');
+});
+
+test('malformed and oversized messages are refused', () => {
+  refuses('GET  /up HTTP/1.1\r\n\r\n', 400);
+  refuses('GET /up HTTP/2.0\r\n\r\n', 400);
+  refuses('GET /up HTTP/1.1\r\nbad header: 1\r\n\r\n', 400);
+  refuses('POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n', 400);
+  refuses('POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n', 400);
+  refuses('POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n', 400);
+  refuses('POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n', 413);
+  refuses('POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n', 413);
+  refuses('POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', 400);
+  refuses('POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n', 501);
+  refuses(`GET / HTTP/1.1\r\nA: ${'x'.repeat(2000)}`, 431);
+  refuses(`GET / HTTP/1.1\r\n${'A: 1\r\n'.repeat(11)}\r\n`, 431);
+});
+
+test('over loopback: answers in order, Connection: close, malformed input, the connection limit', async (t) => {
+  const log = new Logger('test', 'error');
+  const onConnection = httpConnections({ connections: 3, idleMs: 5000, bodyBytes: 100 }, log, (q, reply) =>
+    reply({ status: 200, body: Buffer.from(q.target) }),
+  );
+  const server = createServer(onConnection).listen(0, '127.0.0.1');
+  await new Promise((r) => server.once('listening', r));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpClient({ host: '127.0.0.1', port }, 1);
+  t.after(() => {
+    client.close();
+    server.close();
+  });
+  for (const path of ['/a', '/b']) {
+    const r = await client.request('GET', path, null, 2000);
+    assert.ok(r.ok && r.status === 200 && r.body.toString() === path);
+  }
+  const raw = (text: string): Promise<string> =>
+    new Promise((resolve) => {
+      const socket = connect(port, '127.0.0.1');
+      let got = '';
+      socket.on('data', (d) => (got += d.toString()));
+      socket.on('error', () => undefined);
+      socket.on('close', () => resolve(got));
+      socket.write(text);
+    });
+  assert.match(await raw('GET /x HTTP/1.1\r\nConnection: close\r\n\r\n'), /^HTTP\/1\.1 200 OK[^]*close[^]*\/x$/);
+  assert.match(await raw('nonsense\r\n\r\n'), /^HTTP\/1\.1 400 /);
+  const holders = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')];
+  t.after(() => holders.forEach((h) => h.destroy()));
+  await Promise.all(holders.map((h) => new Promise((r) => h.once('connect', r))));
+  assert.equal(await raw('GET /x HTTP/1.1\r\n\r\n'), '', 'one connection too many is closed at once');
+});
+
+test('a client tells what was never sent from what may have been carried out', async () => {
+  const silent = createServer((s) => s.resume()).listen(0, '127.0.0.1');
+  await new Promise((r) => silent.once('listening', r));
+  const { port } = silent.address() as AddressInfo;
+  const late = await new HttpClient({ host: '127.0.0.1', port }, 1).request('GET', '/', null, 50);
+  assert.deepEqual(late.ok ? null : late.sent, true);
+  silent.close();
+  await new Promise((r) => setImmediate(r));
+  const refused = await new HttpClient({ host: '127.0.0.1', port }, 1).request('GET', '/', null, 500);
+  assert.deepEqual(refused.ok ? null : refused.sent, false);
+});
--- /dev/null
+++ b/src/test/scheduler.test.ts
@@ -0,0 +1,199 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Machine, add } from '../core/cluster.js';
+import { authorityEnds, emptyElection, hasAuthority, learnLeader } from '../core/election.js';
+import { Job, type Placement } from '../core/job.js';
+import { runCycle, type CycleResult } from '../core/scheduler.js';
+import { planScaling } from '../core/scaling.js';
+import type { Amounts, JobSpec } from '../core/types.js';
+import type { Attempt, Endpoint, JobId, MachineId, NodeName, Stamp, Steady, Team, Term } from '../core/units.js';
+import { taskId, type TypeName, type WallTime, type Zone } from '../core/units.js';
+import { jobSpec, teams, types } from './sim/day.js';
+
+const now = 100_000 as Steady;
+
+const machine = (id: string, type: string, zone: string, spot = false): Machine => {
+  const info = { id: id as MachineId, endpoint: '1.1.1.1:1' as Endpoint, type: type as TypeName, zone: zone as Zone, spot };
+  const m = new Machine(
+    info,
+    types.find((t) => t.name === type),
+    now,
+  );
+  m.up = m.settled = true;
+  return m;
+};
+
+const job = (id: string, over: Partial<JobSpec> = {}): Job => {
+  const spec = jobSpec(id, over);
+  return new Job(spec.id, { spec, submittedAt: 0 as WallTime, cancelledAt: null }, 1, false, now);
+};
+
+const put = (m: Machine, j: Job, index: number): Placement => {
+  const p: Placement = {
+    index,
+    machine: m.id,
+    attempt: (index + 1) as Attempt,
+    assignedAt: now,
+    sentWith: null,
+    orderOpen: false,
+    orderLost: false,
+    seen: true,
+    running: true,
+    runningSince: now,
+    stop: null,
+  };
+  j.placements.set(index, p);
+  m.placements.set(taskId(j.id, index), { job: j, placement: p });
+  return p;
+};
+
+const cycle = (machines: Machine[], jobs: Job[]): CycleResult => {
+  const byId = new Map(jobs.map((j) => [j.id, j]));
+  for (const m of machines) for (const { job: j } of m.placements.values()) byId.set(j.id, j);
+  const usage = new Map<Team, Amounts>();
+  for (const j of byId.values()) {
+    const used = usage.get(j.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    add(used, j.spec, j.placements.size);
+    usage.set(j.spec.team, used);
+  }
+  return runCycle({
+    machines: new Map(machines.map((m) => [m.id, m])),
+    queue: jobs.filter((j) => j.pendingCount > 0),
+    specOf: (id: JobId) => byId.get(id)?.spec ?? null,
+    usage,
+    teams: new Map(teams.map((t) => [t.name, t])),
+    now,
+    silentMs: 5000,
+    maxTasks: 40,
+  });
+};
+
+const show = (r: CycleResult): string[] => [
+  ...r.placed.map((p) => `${p.job.id}/${p.index} -> ${p.machine.id}`),
+  ...r.victims.map((v) => `stop ${v.job.id}/${v.placement.index}`),
+  ...r.unplaced.map((u) => `${u.job.id} waits for ${u.tasks}`),
+];
+
+test('a gang is placed whole or not at all, and in one zone', () => {
+  const gang = job('wk-1', { kind: 'gang', tasks: 3, oneZone: true });
+  const split = [machine('a', 'small', 'east'), machine('b', 'small', 'west')];
+  assert.deepEqual(show(cycle(split, [gang])), ['wk-1 waits for 3'], 'two places in each zone are not three in one');
+  const r = cycle([...split, machine('c', 'small', 'west')], [gang]);
+  assert.deepEqual(new Set(r.placed.map((p) => p.machine.info.zone)), new Set(['west']));
+  assert.equal(r.placed.length, 3);
+});
+
+test('the room of a gang that does not fit stays free for the next group', () => {
+  const r = cycle([machine('a', 'small', 'east')], [job('wk-1', { kind: 'gang', tasks: 3 }), job('wk-2', { tasks: 2 })]);
+  assert.deepEqual(show(r), ['wk-2/0 -> a', 'wk-2/1 -> a', 'wk-1 waits for 3']);
+});
+
+test('victims are nominated only for a complete placement', () => {
+  const a = machine('a', 'small', 'east');
+  const low = job('wk-9', { tasks: 2, priority: 'low' });
+  put(a, low, 0);
+  put(a, low, 1);
+  const whole = job('wk-1', { kind: 'gang', tasks: 2, priority: 'high' });
+  assert.deepEqual(show(cycle([a], [whole])), ['stop wk-9/0', 'stop wk-9/1']);
+  const tooLarge = job('wk-2', { kind: 'gang', tasks: 3, priority: 'high' });
+  assert.deepEqual(show(cycle([a], [tooLarge])), ['wk-2 waits for 3'], 'nobody is stopped in vain');
+  const equal = job('wk-3', { kind: 'gang', tasks: 2, priority: 'low' });
+  assert.deepEqual(show(cycle([a], [equal])), ['wk-3 waits for 2'], 'equal priority does not preempt');
+});
+
+test('while victims leave, the group waits and nobody behind it takes the room', () => {
+  const a = machine('a', 'small', 'east');
+  const low = job('wk-9', { tasks: 2, priority: 'low' });
+  put(a, low, 0).stop = { graceS: 2, since: now, why: 'preempted' };
+  const high = job('wk-1', { priority: 'high', gpus: 2 });
+  put(a, low, 1).stop = { graceS: 2, since: now, why: 'preempted' };
+  const behind = job('wk-2', { priority: 'normal', gpus: 0, cpus: 1 });
+  assert.deepEqual(show(cycle([a], [high, behind])), ['wk-2/0 -> a'], 'no second nomination; other room may be used');
+  assert.equal(high.reason.why, 'waiting for victims');
+});
+
+test('spread: at most half of the tasks, rounded up, in a zone', () => {
+  const service = job('wk-1', { kind: 'service', tasks: 3, spread: true });
+  const r = cycle([machine('a', 'large', 'east')], [service]);
+  assert.deepEqual(show(r), ['wk-1/0 -> a', 'wk-1/1 -> a', 'wk-1 waits for 1']);
+});
+
+test('the team limit counts every place where a task still is', () => {
+  const a = machine('a', 'large', 'east');
+  const b = machine('b', 'large', 'east');
+  const c = machine('c', 'large', 'west');
+  const team = 'blue' as Team;
+  const first = job('wk-1', { tasks: 2, gpus: 8, cpus: 8, team });
+  put(a, first, 0).stop = { graceS: 5, since: now, why: 'preempted' };
+  put(b, first, 1);
+  const next = job('wk-2', { tasks: 3, gpus: 2, team });
+  assert.deepEqual(show(cycle([a, b, c], [next])), ['wk-2/0 -> c', 'wk-2/1 -> c']);
+  assert.equal(next.reason.why, 'team limit');
+});
+
+test('jobs run only on types, zones and kinds that they allow', () => {
+  const machines = [machine('a', 'small', 'east', true), machine('b', 'large', 'east'), machine('c', 'small', 'west')];
+  const only = (over: Partial<JobSpec>): string[] => show(cycle(machines, [job('wk-1', over)]));
+  assert.deepEqual(only({ types: ['large' as TypeName] }), ['wk-1/0 -> b']);
+  assert.deepEqual(only({ zone: 'west' as Zone }), ['wk-1/0 -> c']);
+  assert.deepEqual(only({ types: ['small' as TypeName], spot: true, zone: 'east' as Zone }), ['wk-1/0 -> a']);
+  assert.deepEqual(only({ types: ['small' as TypeName], zone: 'east' as Zone }), ['wk-1 waits for 1']);
+});
+
+test('a machine that holds a task of an unknown job takes nothing else', () => {
+  const a = machine('a', 'small', 'east');
+  const lost = { job: 'wk-7' as JobId, index: 0, attempt: 1 as Attempt, cause: null, saved: false };
+  a.tasks.set('wk-7/0#1' as never, { ...lost, state: 'running' });
+  assert.deepEqual(show(cycle([a], [job('wk-1')])), ['wk-1 waits for 1']);
+});
+
+test('scaling: cheapest sufficient type, spot only where allowed, refused capacity left alone', () => {
+  const want = (over: Partial<JobSpec>, tasks: number) => ({
+    spec: jobSpec('wk-1', over),
+    tasks,
+    zones: new Map<Zone, number>(),
+    expected: false,
+  });
+  const plan = (wants: ReturnType<typeof want>[], refused: string[] = []) =>
+    planScaling({
+      rooms: [],
+      wants,
+      types,
+      refusedUntil: new Map(refused.map((r) => [r, (now + 1) as Steady])),
+      now,
+      maxNew: 10,
+    }).orders.map((o) => `${o.count} ${o.type} ${o.zone}${o.spot ? ' spot' : ''}`);
+  assert.deepEqual(plan([want({}, 1)]), ['1 small east']);
+  assert.deepEqual(plan([want({ spot: true }, 1)]), ['1 small east spot']);
+  assert.deepEqual(plan([want({ spot: true }, 1)], ['small|east|true']), ['1 small west spot']);
+  assert.deepEqual(plan([want({ gpus: 8, cpus: 40 }, 2)]), ['2 large east']);
+  assert.deepEqual(plan([want({ kind: 'service', tasks: 2, spread: true }, 2)]), ['1 small east', '1 small west']);
+});
+
+test('authority ends before the lease can, and a higher term ends it at once', () => {
+  const e = emptyElection();
+  const held = { lease: 1, term: 3 as Term, keyStamp: 9 as Stamp, renewedAt: 1000 as Steady };
+  e.held = held;
+  assert.ok(authorityEnds(held, 3000) < 4000 * (1 - 0.0005));
+  assert.ok(hasAuthority(e, 3000, 3900 as Steady));
+  assert.ok(!hasAuthority(e, 3000, 3960 as Steady));
+  learnLeader(e, 'other' as NodeName, 4 as Term);
+  assert.ok(!hasAuthority(e, 3000, 1001 as Steady));
+});
+
+test('an array of 100,000 tasks: completions in chunks, requeued tasks first', () => {
+  const big = job('wk-1', { tasks: 100_000 });
+  assert.deepEqual(big.pending(2), [0, 1]);
+  const bits = new Uint8Array(2048).fill(255);
+  for (let chunk = 0; chunk < 6; chunk++) big.confirmChunk(chunk, bits);
+  assert.equal(big.doneCount, 98_304);
+  assert.deepEqual(big.pending(1), [98_304]);
+  const m = machine('a', 'small', 'east');
+  put(m, big, 98_304);
+  assert.deepEqual(big.pending(1), [98_305]);
+  big.release(98_304);
+  assert.deepEqual(big.pending(2), [98_304, 98_305]);
+  big.markDone(99_999);
+  assert.deepEqual([...big.dirty], [6]);
+  assert.ok(!big.isDurable(99_999));
+});
--- /dev/null
+++ b/src/test/sim/checker.ts
@@ -0,0 +1,102 @@
+// The rules of the protocol, checked against what the stand-in workers and users really saw.
+import type { JobSpec, MachineInfo, TeamLimits } from '../../core/types.js';
+import type { JobId } from '../../core/units.js';
+
+interface Place {
+  machine: MachineInfo;
+  job: JobId;
+  index: number;
+}
+
+export class Checker {
+  readonly broken: string[] = [];
+  starts = 0;
+  private readonly places = new Set<Place>();
+  private readonly cancelledAt = new Map<JobId, number>();
+  private readonly completed = new Map<JobId, Set<number>>();
+  private readonly toldFinal = new Map<JobId, string>();
+
+  constructor(
+    private readonly specs: Map<JobId, JobSpec>,
+    private readonly teams: TeamLimits[],
+    private readonly cancelS: number,
+    private readonly now: () => number,
+  ) {}
+
+  /** A task got its image: from here on it is on the machine. */
+  started(machine: MachineInfo, job: JobId, index: number): Place {
+    this.starts++;
+    const spec = this.specs.get(job)!;
+    const others = [...this.places].filter((p) => p.job === job);
+    if (others.some((p) => p.index === index)) this.report('ran_twice', `${job}/${index} on ${machine.id}`);
+    if (spec.types !== null && !spec.types.includes(machine.type)) this.report('wrong_place', `${job} type`);
+    if (spec.zone !== null && spec.zone !== machine.zone) this.report('wrong_place', `${job} zone`);
+    if (!spec.spot && machine.spot) this.report('wrong_place', `${job} spot`);
+    if (spec.oneZone && others.some((p) => p.machine.zone !== machine.zone)) {
+      this.report('wrong_place', `${job} in two zones`);
+    }
+    const here = others.filter((p) => p.machine.zone === machine.zone).length + 1;
+    if (spec.spread && here > Math.ceil(spec.tasks / 2)) this.report('wrong_place', `${job} not spread`);
+    const place = { machine, job, index };
+    this.places.add(place);
+    this.checkQuota(spec);
+    const cancelled = this.cancelledAt.get(job);
+    if (cancelled !== undefined && this.now() - cancelled > this.cancelS * 1000) {
+      this.report('ran_cancelled', `${job}/${index} started`);
+    }
+    return place;
+  }
+
+  ended(place: Place | null): void {
+    if (place) this.places.delete(place);
+  }
+
+  taskCompleted(job: JobId, index: number): void {
+    const set = this.completed.get(job) ?? new Set();
+    set.add(index);
+    this.completed.set(job, set);
+  }
+
+  toldCancelled(job: JobId): void {
+    if (!this.cancelledAt.has(job)) this.cancelledAt.set(job, this.now());
+    this.told(job, 'withdrawn');
+  }
+
+  told(job: JobId, status: string): void {
+    const before = this.toldFinal.get(job);
+    if (before !== undefined && before !== status) this.report('went_back', `${job}: ${before}, then ${status}`);
+    if (status === 'done') {
+      const done = this.completed.get(job)?.size ?? 0;
+      if (done < this.specs.get(job)!.tasks) this.report('not_done', `${job}: ${done} tasks completed`);
+    }
+    if (status === 'done' || status === 'withdrawn') this.toldFinal.set(job, status);
+  }
+
+  /** To be called regularly: finds cancelled tasks that stay. */
+  sweep(): void {
+    for (const p of this.places) {
+      const at = this.cancelledAt.get(p.job);
+      if (at !== undefined && this.now() - at > this.cancelS * 1000) {
+        this.report('ran_cancelled', `${p.job}/${p.index} on ${p.machine.id}`);
+      }
+    }
+  }
+
+  private checkQuota(spec: JobSpec): void {
+    const team = this.teams.find((t) => t.name === spec.team)!;
+    let gpus = 0;
+    let cpus = 0;
+    for (const p of this.places) {
+      const other = this.specs.get(p.job)!;
+      if (other.team !== spec.team) continue;
+      gpus += other.gpus;
+      cpus += other.cpus;
+    }
+    const over = (used: number, max: number): boolean => max > 0 && used > max + 1e-6;
+    if (over(gpus, team.gpusMax) || over(cpus, team.cpusMax)) this.report('quota', spec.team);
+  }
+
+  private report(rule: string, what: string): void {
+    this.broken.push(`${rule} at ${(this.now() / 1000).toFixed(1)}: ${what}`);
+  }
+}
--- /dev/null
+++ b/src/test/sim/day.ts
@@ -0,0 +1,375 @@
+// A day on virtual time: the real core between stand-ins for state service, cloud, workers and users.
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { Checker } from './checker.js';
+import { VirtualClock } from './clock.js';
+import { Worker, type WorldView } from './worker.js';
+import { Leader, type Effect } from '../../core/leader.js';
+import type { FinalState, JobRecord, JobSpec, MachineInfo, MachineType, TeamLimits } from '../../core/types.js';
+import type { Endpoint, JobId, MachineId, Steady, Team, Term, TypeName, WallTime, Zone } from '../../core/units.js';
+
+export const teams: TeamLimits[] = [
+  { name: 'blue' as Team, cpus: 0, cpusMax: 0, gpus: 4, gpusMax: 20 },
+  { name: 'green' as Team, cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 },
+];
+
+export const types: MachineType[] = [
+  {
+    name: 'small' as TypeName,
+    cpus: 16,
+    gpus: 2,
+    memoryGb: 64,
+    cacheGb: 60,
+    fetchGbPerS: 1,
+    price: 4,
+    spotPrice: 1.5,
+    bootS: 20,
+    zones: ['east', 'west'] as Zone[],
+  },
+  {
+    name: 'large' as TypeName,
+    cpus: 64,
+    gpus: 8,
+    memoryGb: 512,
+    cacheGb: 100,
+    fetchGbPerS: 1,
+    price: 14,
+    spotPrice: 6,
+    bootS: 20,
+    zones: ['east', 'west'] as Zone[],
+  },
+];
+
+export const jobSpec = (id: string, over: Partial<JobSpec> = {}): JobSpec => ({
+  id: id as JobId,
+  class: 'batch',
+  team: 'green' as Team,
+  kind: 'array',
+  priority: 'normal',
+  tasks: 1,
+  cpus: 4,
+  gpus: 1,
+  memoryGb: 16,
+  image: 'img-1',
+  imageGb: 4,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 30,
+  checkpointS: 10,
+  saveS: 2,
+  deadlineS: null,
+  ...over,
+});
+
+const times = { reportS: 2, leaseS: 12, gangWaitS: 30, gangPeerS: 6, cancelS: 40 };
+const NETWORK_MS = 5;
+
+interface Rented {
+  worker: Worker;
+  listedFrom: number;
+  rentedAt: number;
+}
+
+export class Day {
+  readonly clock = new VirtualClock();
+  readonly checker: Checker;
+  readonly specs = new Map<JobId, JobSpec>();
+  readonly finals = new Map<JobId, FinalState>();
+  readonly trace: string[] = [];
+  readonly workers = new Map<MachineId, Rented>();
+  stateDown = false;
+  cloudDown = false;
+  loseOrders = 0;
+  holdOrders = false;
+  leader: Leader | null = null;
+  private term = 0;
+  private revision = 1;
+  private leaderStamp = 0;
+  private machineCount = 0;
+  private readonly records = new Map<JobId, { record: JobRecord; stamp: number }>();
+  private readonly roster = new Map<MachineId, MachineInfo>();
+  private readonly progress = new Map<string, { job: JobId; chunk: number; bytes: Uint8Array }>();
+  private readonly rentals = new Map<string, MachineId[]>();
+  private held: (() => void)[] = [];
+  private readonly rng;
+  private readonly world: WorldView;
+
+  constructor(
+    seed: number,
+    private readonly make: (...a: ConstructorParameters<typeof Leader>) => Leader = (...a) => new Leader(...a),
+  ) {
+    this.rng = xoroshiro128plus(seed);
+    this.checker = new Checker(this.specs, teams, times.cancelS, () => this.clock.now);
+    this.world = {
+      clock: this.clock,
+      checker: this.checker,
+      times,
+      specs: this.specs,
+      gangs: new Map(),
+      capacity: (name) => types.find((t) => t.name === name)!,
+      runMs: (job) => this.specs.get(job)!.estimateS * 1000 * (0.7 + 0.6 * this.random()),
+      fetchMs: (_, job) => this.specs.get(job)!.imageGb * 1000,
+    };
+    this.clock.every(1000, () => this.checker.sweep());
+    this.elect();
+    this.clock.every(200, () => this.tick());
+    this.clock.every(4000, () => this.list());
+  }
+
+  random(): number {
+    return uniformFloat64(this.rng);
+  }
+
+  note(line: string): void {
+    this.trace.push(`${(this.clock.now / 1000).toFixed(2).padStart(7)}  ${line}`);
+  }
+
+  // ---- users -----------------------------------------------------------------------------------------------
+
+  submit(spec: JobSpec): void {
+    if (this.stateDown) {
+      this.clock.after(1000, () => this.submit(spec)); // answered 503: the user comes back
+      return;
+    }
+    this.specs.set(spec.id, spec);
+    const record: JobRecord = { spec, submittedAt: this.wall(), cancelledAt: null };
+    this.put(spec.id, record);
+    this.note(`user submits ${spec.id} (${spec.kind}, ${spec.tasks} tasks, ${spec.priority})`);
+  }
+
+  cancel(id: JobId): void {
+    const known = this.records.get(id);
+    if (!known || this.stateDown) return;
+    this.put(id, { ...known.record, cancelledAt: this.wall() });
+    this.checker.toldCancelled(id);
+    this.note(`user cancels ${id}`);
+  }
+
+  private put(id: JobId, record: JobRecord): void {
+    const stamp = ++this.revision;
+    this.records.set(id, { record, stamp });
+    this.watchEvent(id, record, stamp);
+  }
+
+  /** An open watch waits through an outage and goes on afterwards. */
+  private watchEvent(id: JobId, record: JobRecord, stamp: number): void {
+    this.clock.after(NETWORK_MS, () => {
+      if (this.stateDown) this.clock.after(500, () => this.watchEvent(id, record, stamp));
+      else this.leader?.learnJob(id, record, stamp, false, this.steady(), this.wall());
+    });
+  }
+
+  // ---- controllers -----------------------------------------------------------------------------------------
+
+  /** A new leader takes over from what the state service holds; the old one is gone without a word. */
+  elect(): void {
+    this.term++;
+    this.leaderStamp = ++this.revision;
+    const leader = this.make(
+      { term: this.term as Term, keyStamp: this.leaderStamp },
+      {
+        workers: times,
+        teams,
+        idleHoldS: 30,
+        capacityRetryS: 10,
+        txnOps: 16,
+        listLagS: 4,
+        random: () => this.random(),
+      },
+      this.steady(),
+    );
+    leader.setTypes(types);
+    for (const m of this.roster.values()) leader.loadMachine(m, this.steady());
+    for (const [id, { record, stamp }] of this.records) {
+      leader.learnJob(id, record, stamp, true, this.steady(), this.wall());
+    }
+    for (const p of this.progress.values()) leader.loadProgress(p.job, p.chunk, p.bytes);
+    this.leader = leader;
+    this.note(`leader of term ${this.term} begins`);
+  }
+
+  crashLeader(backAfterMs: number): void {
+    this.leader = null;
+    this.note('leader crashes');
+    this.clock.after(backAfterMs, () => this.elect());
+  }
+
+  private tick(): void {
+    const leader = this.leader;
+    if (!leader || this.stateDown) return;
+    leader.tick(this.steady(), this.wall());
+    for (const e of leader.takeEffects()) this.carryOut(leader, e);
+  }
+
+  private later(leader: Leader, ms: number, run: () => void): void {
+    this.clock.after(ms, () => {
+      if (this.leader === leader) run();
+    });
+  }
+
+  private carryOut(leader: Leader, e: Effect): void {
+    const now = (): Steady => this.steady();
+    const ok = !this.stateDown;
+    switch (e.kind) {
+      case 'log':
+        if (e.level === 'info') this.note(`  ${e.text} ${JSON.stringify(e.fields)}`);
+        return;
+      case 'enroll':
+        for (const m of e.machines) this.roster.set(m.id, m);
+        this.later(leader, NETWORK_MS, () => leader.onEnrolled(e.machines.map((m) => m.id), ok));
+        return;
+      case 'unenroll':
+        for (const id of e.machines) this.roster.delete(id);
+        return;
+      case 'progress':
+        this.progress.set(`${e.job}/${e.chunk}`, { job: e.job, chunk: e.chunk, bytes: e.bytes });
+        this.later(leader, NETWORK_MS, () => leader.onProgress(e.job, e.chunk, e.bytes, ok));
+        return;
+      case 'finish':
+        this.finish(leader, e);
+        return;
+      case 'rent':
+        this.later(leader, 100, () => {
+          if (this.cloudDown) leader.onRented(e.request, 'retry', now());
+          else leader.onRented(e.request, { machines: this.rent(e.request, e.order) }, now());
+        });
+        return;
+      case 'return': {
+        const down = this.cloudDown;
+        if (!down) for (const id of e.machines) this.takeAway(id);
+        this.later(leader, 100, () => leader.onReturned(e.machines, !down, now()));
+        return;
+      }
+      case 'orders':
+        this.order(leader, e);
+        return;
+    }
+  }
+
+  private finish(leader: Leader, e: Extract<Effect, { kind: 'finish' }>): void {
+    const known = this.records.get(e.job);
+    if (known && known.stamp !== e.stamp) {
+      this.later(leader, NETWORK_MS, () => leader.onFinished(e.job, { kind: 'changed', ...known }, this.steady()));
+      return;
+    }
+    this.records.delete(e.job);
+    this.finals.set(e.job, e.state);
+    this.checker.told(e.job, e.state);
+    this.note(`${e.job} is ${e.state}`);
+    this.later(leader, NETWORK_MS, () => leader.onFinished(e.job, { kind: 'ok' }, this.steady()));
+  }
+
+  private order(leader: Leader, e: Extract<Effect, { kind: 'orders' }>): void {
+    const worker = this.workers.get(e.machine)?.worker;
+    const term = leader.leadership.term;
+    for (const c of e.commands) this.note(`order to ${e.machine}: ${c.op} ${c.job}/${c.index}`);
+    const arrive = (): void => {
+      if (!worker?.alive) return;
+      const r = worker.order(term, Number(e.session), e.commands);
+      const kind = r.executed ? 'executed' : 'refused';
+      this.later(leader, NETWORK_MS, () => {
+        leader.onOrdersAnswer(e.machine, e.commands, { kind, report: r.report }, this.steady());
+      });
+    };
+    const silent = !worker?.alive || worker.cut || this.holdOrders || this.random() < this.loseOrders;
+    if (!silent) {
+      this.clock.after(NETWORK_MS, arrive);
+      return;
+    }
+    // Held back by the network: given up here, and perhaps delivered minutes later.
+    this.held.push(() => worker?.alive && worker.order(term, Number(e.session), e.commands));
+    this.later(leader, 2500, () => {
+      leader.onOrdersAnswer(e.machine, e.commands, { kind: 'unknown' }, this.steady());
+    });
+  }
+
+  /** The network delivers what it held back. */
+  releaseHeld(): void {
+    const held = this.held;
+    this.held = [];
+    this.note(`${held.length} held orders arrive`);
+    for (const run of held) run();
+  }
+
+  // ---- cloud and workers -----------------------------------------------------------------------------------
+
+  private rent(request: string, order: { type: TypeName; zone: Zone; spot: boolean; count: number }): MachineId[] {
+    const known = this.rentals.get(request);
+    if (known) return known;
+    const ids: MachineId[] = [];
+    for (let i = 0; i < order.count; i++) {
+      const id = `host-${String(this.machineCount++).padStart(4, '0')}` as MachineId;
+      const { type, zone, spot } = order;
+      const info = { id, endpoint: `10.0.0.1:${9000 + this.machineCount}` as Endpoint, type, zone, spot };
+      ids.push(id);
+      this.clock.after(20_000 * (0.6 + 0.9 * this.random()), () => this.boot(info));
+    }
+    this.rentals.set(request, ids);
+    this.note(`rents ${order.count} ${order.type} in ${order.zone}${order.spot ? ' (spot)' : ''}`);
+    return ids;
+  }
+
+  private readonly returned = new Set<MachineId>();
+
+  private boot(info: MachineInfo): void {
+    if (this.returned.has(info.id)) return;
+    const worker = new Worker(info, this.world);
+    this.workers.set(info.id, { worker, listedFrom: this.clock.now + 4000, rentedAt: this.clock.now });
+    const round = (): void => {
+      if (!worker.alive) return;
+      this.reportFrom(worker);
+      this.clock.after(times.reportS * 1000 * (0.75 + 0.5 * this.random()), round);
+    };
+    round();
+  }
+
+  private reportFrom(worker: Worker): void {
+    const report = worker.report();
+    const sentAt = this.clock.now;
+    if (worker.cut) return;
+    this.clock.after(NETWORK_MS, () => {
+      const leader = this.leader;
+      if (!leader) {
+        // Another controller keeps the worker alive under the last token, without commands.
+        this.clock.after(NETWORK_MS, () => worker.answered(this.term, [], sentAt, Number(report.session)));
+        return;
+      }
+      const term = leader.leadership.term;
+      let commands: ReturnType<Leader['onReport']> = [];
+      if (this.stateDown) leader.onReportWithoutAuthority(report, this.steady());
+      else commands = leader.onReport(report, this.steady());
+      this.clock.after(NETWORK_MS, () => {
+        if (!worker.cut) worker.answered(term, commands, sentAt, Number(report.session));
+      });
+    });
+  }
+
+  takeAway(id: MachineId): void {
+    this.returned.add(id);
+    this.workers.get(id)?.worker.kill();
+    this.workers.delete(id);
+  }
+
+  private list(): void {
+    if (!this.leader || this.cloudDown) return;
+    const listed = [...this.workers.values()]
+      .filter((r) => r.listedFrom <= this.clock.now)
+      .map((r) => ({
+        ...r.worker.info,
+        status: 'running' as const,
+        ageS: (this.clock.now - r.rentedAt) / 1000,
+      }));
+    this.leader.onList(listed, this.steady());
+  }
+
+  private steady(): Steady {
+    return this.clock.now as Steady;
+  }
+
+  private wall(): WallTime {
+    return (1_700_000_000_000 + this.clock.now) as WallTime;
+  }
+}
--- /dev/null
+++ b/src/test/wire.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { checkOperator } from '../config/operator.js';
+import { parsePlatform } from '../config/platform.js';
+import { decode, encode, tryDecode } from '../wire/cbor.js';
+import { parseTypes } from '../wire/cloud.js';
+import { parseItem, transactionBody } from '../wire/state.js';
+import { parseJob } from '../wire/users.js';
+import { ordersBody, parseReport } from '../wire/workers.js';
+import type { Attempt, JobId } from '../core/units.js';
+
+const job = {
+  nameId: 'wk-000412',
+  herd: 'train',
+  outfit: 'vision',
+  gait: 'group',
+  rank: 'high',
+  hands: 16,
+  vcpus: 8.0,
+  accelerators: 1.0,
+  memGb: 64.0,
+  kit: 'img-07',
+  sizeGb: 6.2,
+  breeds: ['g8'],
+  pasture: null,
+  oneZone: true,
+  spread: false,
+  loaners: true,
+  rideS: 240.0,
+  waypointS: 30.0,
+  stowS: 4.0,
+  dueS: 900.0,
+};
+
+test('a job submission is translated; null fields may be omitted, unknown ones are ignored', () => {
+  const whole = parseJob(decode(encode({ ...job, color: 'red' })));
+  assert.ok(whole.ok && whole.value.kind === 'gang' && whole.value.tasks === 16 && whole.value.spot);
+  const short: Record<string, unknown> = { ...job };
+  for (const field of ['breeds', 'pasture', 'dueS']) delete short[field];
+  const r = parseJob(short);
+  assert.ok(r.ok && r.value.types === null && r.value.zone === null && r.value.deadlineS === null);
+});
+
+test('every missing or wrong field of a submission is refused', () => {
+  for (const field of Object.keys(job)) {
+    const wrong = field === 'breeds' ? 'g8' : Number.NaN;
+    assert.equal(parseJob({ ...job, [field]: wrong }).ok, false, `${field} wrong`);
+    if (['breeds', 'pasture', 'dueS'].includes(field)) continue;
+    const rest: Record<string, unknown> = { ...job };
+    delete rest[field];
+    assert.equal(parseJob(rest).ok, false, `${field} missing`);
+  }
+  for (const hands of [0, -1, 1.5, 100_001, 2n ** 60n]) assert.equal(parseJob({ ...job, hands }).ok, false);
+  for (const nameId of ['', 'wk-', 'wk-1/2', 'job-1', 'wk-1 ']) assert.equal(parseJob({ ...job, nameId }).ok, false);
+});
+
+test('CBOR: one value exactly', () => {
+  assert.equal(tryDecode(Buffer.concat([encode({ a: 1 }), Buffer.from([0])])), undefined, 'trailing byte');
+  assert.equal(tryDecode(encode(job).subarray(0, 20)), undefined, 'cut off');
+  assert.equal(tryDecode(Buffer.alloc(0)), undefined, 'empty');
+});
+
+test('integers up to 2^64 survive; what we count in must stay below 2^53', () => {
+  const huge = 2n ** 63n + 1n;
+  const item = parseItem(decode(encode({ key: 'a', data: null, stamp: huge })));
+  assert.equal(item?.stamp, huge);
+  const body = transactionBody({ if: [{ key: 'a', stamp: huge }], then: [] });
+  assert.deepEqual(decode(encode(body)), { if: [{ key: 'a', stamp: huge }], then: [] });
+  const attempt = (3 * 2 ** 40) as Attempt;
+  const orders = ordersBody(7, huge, [{ op: 'start', job: 'wk-1' as JobId, index: 0, attempt }]);
+  // Written as an integer (major type 0), not as a float.
+  assert.ok(encode(orders).includes(Buffer.from('1b0000030000000000', 'hex')));
+  const report = {
+    stall: 'host-1',
+    endpoint: '10.0.0.1:9000',
+    breed: 'g8',
+    pasture: 'a',
+    loaners: false,
+    shift: 1,
+    tally: huge,
+    reins: 1,
+    hands: [{ hand: 'wk-1/0', try: 1, status: 'running' }],
+  };
+  const r = parseReport(decode(encode(report)));
+  assert.ok(r.ok && r.value.seq === huge && r.value.tasks[0]!.job === 'wk-1');
+  assert.equal(parseReport({ ...report, hands: [{ hand: 'wk-1/0', try: huge, status: 'running' }] }).ok, false);
+});
+
+test('wrong types from the cloud are refused as a whole', () => {
+  assert.equal(parseTypes({ breeds: [{ label: 'g8' }] }), null);
+  assert.equal(parseTypes('soon'), null);
+});
+
+const platform = `
+node_name = "stable-0"
+area = "lisboa"
+public_addr = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+some_day = "a new field"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+count = 3
+zones = ["lisboa", "ribeira"]
+clock_error_ms = 25.0
+[settings.workers]
+report_s = 1.5
+lease_s = 10.0
+gang_wait_s = 45.0
+gang_peer_s = 8.0
+cancel_s = 40.0
+[settings.state]
+rps = 120.0
+write_rps = 20.0
+value_kb = 16.0
+txn_ops = 16
+[settings.cloud]
+rps = 4.0
+list_lag_s = 8.0
+[settings.limits]
+cpu = 0.255
+memory_mb = 146.0
+fd_limit = 900
+`;
+
+test('settings: unknown fields are ignored, a bad one is named with its value and what is expected', () => {
+  assert.equal(parsePlatform(platform).publicAddr.port, 8080);
+  assert.throws(() => parsePlatform(platform.replace('lease_s = 10.0', 'lease_s = "long"')), {
+    message: 'settings.workers.lease_s: "long" is not valid; expected number',
+  });
+  assert.throws(() => parsePlatform(platform.replace('area = "lisboa"', '')), {
+    message: 'area: missing is not valid; expected "area"',
+  });
+});
+
+test('operator settings: defaults, bounds, and unknown names refused', () => {
+  assert.equal(checkOperator({}).leaseMs, 3000);
+  assert.equal(checkOperator({ leadership: [{ lease_ms: 5000 }] }).leaseMs, 5000);
+  assert.throws(() => checkOperator({ leadership: [{ lease_ms: 1 }] }), /leadership\.0\.lease_ms: 1 .*>=500/);
+  assert.throws(() => checkOperator({ leadreship: [{}] }), /leadreship/);
+});
