--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -20,7 +20,9 @@
         day.submit(jobSpec(id, { kind: 'gang', tasks: 3, oneZone: true, priority: 'high', image: 'img-2' }));
       }
       if (kind === 2) {
-        day.submit(jobSpec(id, { kind: 'service', tasks: 2, spread: true, priority: 'production', estimateS: 0 }));
+        day.submit(
+          jobSpec(id, { kind: 'service', tasks: 2, spread: true, priority: 'production', estimateS: 0 }),
+        );
       }
       if (kind === 3) day.submit(jobSpec(id, { tasks: 6, team: 'blue' as Team, priority: 'low', gpus: 2 }));
       if (kind === 2 || i % 7 === 0) day.clock.after(minutes(2), () => cancelAt(day, id as JobId));
@@ -133,10 +135,12 @@
     }
   }
   const day = new Day(5, (...a) => new Hasty(...a));
-  for (let i = 0; i < 6; i++) day.submit(jobSpec(`wk-${i}`, { tasks: 4, estimateS: 200 }));
+  for (let i = 0; i < 6; i++) day.submit(jobSpec(`wk-${i}`, { tasks: 4, estimateS: 200, imageGb: 1 }));
   day.clock.after(minutes(2), () => {
     day.cancel('wk-0' as JobId); // leaves room, so that the hasty start happens at once
-    const [busy] = [...day.workers.values()].filter((r) => r.worker.report().tasks.some((t) => t.job !== 'wk-0'));
+    const [busy] = [...day.workers.values()].filter((r) =>
+      r.worker.report().tasks.some((t) => t.job !== 'wk-0'),
+    );
     busy!.worker.cut = true;
   });
   day.clock.runUntil(minutes(4));
--- a/src/test/http.test.ts
+++ b/src/test/http.test.ts
@@ -22,7 +22,8 @@
   for (let size = 1; size < 12; size++) {
     const parser = new HttpParser('request', limits);
     const got = [];
-    for (let i = 0; i < text.length; i += size) got.push(...parser.push(Buffer.from(text.slice(i, i + size))));
+    for (let i = 0; i < text.length; i += size)
+      got.push(...parser.push(Buffer.from(text.slice(i, i + size))));
     assert.deepEqual(
       got.map((m) => [m.method, m.target, m.body.toString()]),
       [
@@ -35,7 +36,8 @@
 });
 
 test('chunked bodies, and responses that run to the end of the connection', () => {
-  const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n';
+  const chunked =
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n';
   assert.equal(parse(chunked, 'response')[0]!.body.toString(), 'abcde');
   const parser = new HttpParser('response', limits);
   assert.deepEqual(parser.push(Buffer.from('HTTP/1.1 200 OK\r\n\r\nab')), []);
@@ -83,7 +85,10 @@
       socket.on('close', () => resolve(got));
       socket.write(text);
     });
-  assert.match(await raw('GET /x HTTP/1.1\r\nConnection: close\r\n\r\n'), /^HTTP\/1\.1 200 OK[^]*close[^]*\/x$/);
+  assert.match(
+    await raw('GET /x HTTP/1.1\r\nConnection: close\r\n\r\n'),
+    /^HTTP\/1\.1 200 OK[^]*close[^]*\/x$/,
+  );
   assert.match(await raw('nonsense\r\n\r\n'), /^HTTP\/1\.1 400 /);
   const holders = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')];
   t.after(() => holders.forEach((h) => h.destroy()));
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -6,14 +6,30 @@
 import { runCycle, type CycleResult } from '../core/scheduler.js';
 import { planScaling } from '../core/scaling.js';
 import type { Amounts, JobSpec } from '../core/types.js';
-import type { Attempt, Endpoint, JobId, MachineId, NodeName, Stamp, Steady, Team, Term } from '../core/units.js';
+import type {
+  Attempt,
+  Endpoint,
+  JobId,
+  MachineId,
+  NodeName,
+  Stamp,
+  Steady,
+  Team,
+  Term,
+} from '../core/units.js';
 import { taskId, type TypeName, type WallTime, type Zone } from '../core/units.js';
 import { jobSpec, teams, types } from './sim/day.js';
 
 const now = 100_000 as Steady;
 
 const machine = (id: string, type: string, zone: string, spot = false): Machine => {
-  const info = { id: id as MachineId, endpoint: '1.1.1.1:1' as Endpoint, type: type as TypeName, zone: zone as Zone, spot };
+  const info = {
+    id: id as MachineId,
+    endpoint: '1.1.1.1:1' as Endpoint,
+    type: type as TypeName,
+    zone: zone as Zone,
+    spot,
+  };
   const m = new Machine(
     info,
     types.find((t) => t.name === type),
@@ -77,14 +93,21 @@
 test('a gang is placed whole or not at all, and in one zone', () => {
   const gang = job('wk-1', { kind: 'gang', tasks: 3, oneZone: true });
   const split = [machine('a', 'small', 'east'), machine('b', 'small', 'west')];
-  assert.deepEqual(show(cycle(split, [gang])), ['wk-1 waits for 3'], 'two places in each zone are not three in one');
+  assert.deepEqual(
+    show(cycle(split, [gang])),
+    ['wk-1 waits for 3'],
+    'two places in each zone are not three in one',
+  );
   const r = cycle([...split, machine('c', 'small', 'west')], [gang]);
   assert.deepEqual(new Set(r.placed.map((p) => p.machine.info.zone)), new Set(['west']));
   assert.equal(r.placed.length, 3);
 });
 
 test('the room of a gang that does not fit stays free for the next group', () => {
-  const r = cycle([machine('a', 'small', 'east')], [job('wk-1', { kind: 'gang', tasks: 3 }), job('wk-2', { tasks: 2 })]);
+  const r = cycle(
+    [machine('a', 'small', 'east')],
+    [job('wk-1', { kind: 'gang', tasks: 3 }), job('wk-2', { tasks: 2 })],
+  );
   assert.deepEqual(show(r), ['wk-2/0 -> a', 'wk-2/1 -> a', 'wk-1 waits for 3']);
 });
 
@@ -108,7 +131,11 @@
   const high = job('wk-1', { priority: 'high', gpus: 2 });
   put(a, low, 1).stop = { graceS: 2, since: now, why: 'preempted' };
   const behind = job('wk-2', { priority: 'normal', gpus: 0, cpus: 1 });
-  assert.deepEqual(show(cycle([a], [high, behind])), ['wk-2/0 -> a'], 'no second nomination; other room may be used');
+  assert.deepEqual(
+    show(cycle([a], [high, behind])),
+    ['wk-2/0 -> a'],
+    'no second nomination; other room may be used',
+  );
   assert.equal(high.reason.why, 'waiting for victims');
 });
 
@@ -132,7 +159,11 @@
 });
 
 test('jobs run only on types, zones and kinds that they allow', () => {
-  const machines = [machine('a', 'small', 'east', true), machine('b', 'large', 'east'), machine('c', 'small', 'west')];
+  const machines = [
+    machine('a', 'small', 'east', true),
+    machine('b', 'large', 'east'),
+    machine('c', 'small', 'west'),
+  ];
   const only = (over: Partial<JobSpec>): string[] => show(cycle(machines, [job('wk-1', over)]));
   assert.deepEqual(only({ types: ['large' as TypeName] }), ['wk-1/0 -> b']);
   assert.deepEqual(only({ zone: 'west' as Zone }), ['wk-1/0 -> c']);
@@ -167,7 +198,10 @@
   assert.deepEqual(plan([want({ spot: true }, 1)]), ['1 small east spot']);
   assert.deepEqual(plan([want({ spot: true }, 1)], ['small|east|true']), ['1 small west spot']);
   assert.deepEqual(plan([want({ gpus: 8, cpus: 40 }, 2)]), ['2 large east']);
-  assert.deepEqual(plan([want({ kind: 'service', tasks: 2, spread: true }, 2)]), ['1 small east', '1 small west']);
+  assert.deepEqual(plan([want({ kind: 'service', tasks: 2, spread: true }, 2)]), [
+    '1 small east',
+    '1 small west',
+  ]);
 });
 
 test('authority ends before the lease can, and a higher term ends it at once', () => {
--- a/src/test/sim/checker.ts
+++ b/src/test/sim/checker.ts
@@ -64,7 +64,8 @@
 
   told(job: JobId, status: string): void {
     const before = this.toldFinal.get(job);
-    if (before !== undefined && before !== status) this.report('went_back', `${job}: ${before}, then ${status}`);
+    if (before !== undefined && before !== status)
+      this.report('went_back', `${job}: ${before}, then ${status}`);
     if (status === 'done') {
       const done = this.completed.get(job)?.size ?? 0;
       if (done < this.specs.get(job)!.tasks) this.report('not_done', `${job}: ${done} tasks completed`);
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -5,8 +5,25 @@
 import { VirtualClock } from './clock.js';
 import { Worker, type WorldView } from './worker.js';
 import { Leader, type Effect } from '../../core/leader.js';
-import type { FinalState, JobRecord, JobSpec, MachineInfo, MachineType, TeamLimits } from '../../core/types.js';
-import type { Endpoint, JobId, MachineId, Steady, Team, Term, TypeName, WallTime, Zone } from '../../core/units.js';
+import type {
+  FinalState,
+  JobRecord,
+  JobSpec,
+  MachineInfo,
+  MachineType,
+  TeamLimits,
+} from '../../core/types.js';
+import type {
+  Endpoint,
+  JobId,
+  MachineId,
+  Steady,
+  Team,
+  Term,
+  TypeName,
+  WallTime,
+  Zone,
+} from '../../core/units.js';
 
 export const teams: TeamLimits[] = [
   { name: 'blue' as Team, cpus: 0, cpusMax: 0, gpus: 4, gpusMax: 20 },
@@ -99,7 +116,8 @@
 
   constructor(
     seed: number,
-    private readonly make: (...a: ConstructorParameters<typeof Leader>) => Leader = (...a) => new Leader(...a),
+    private readonly make: (...a: ConstructorParameters<typeof Leader>) => Leader = (...a) =>
+      new Leader(...a),
   ) {
     this.rng = xoroshiro128plus(seed);
     this.checker = new Checker(this.specs, teams, times.cancelS, () => this.clock.now);
@@ -219,7 +237,12 @@
         return;
       case 'enroll':
         for (const m of e.machines) this.roster.set(m.id, m);
-        this.later(leader, NETWORK_MS, () => leader.onEnrolled(e.machines.map((m) => m.id), ok));
+        this.later(leader, NETWORK_MS, () =>
+          leader.onEnrolled(
+            e.machines.map((m) => m.id),
+            ok,
+          ),
+        );
         return;
       case 'unenroll':
         for (const id of e.machines) this.roster.delete(id);
@@ -252,7 +275,9 @@
   private finish(leader: Leader, e: Extract<Effect, { kind: 'finish' }>): void {
     const known = this.records.get(e.job);
     if (known && known.stamp !== e.stamp) {
-      this.later(leader, NETWORK_MS, () => leader.onFinished(e.job, { kind: 'changed', ...known }, this.steady()));
+      this.later(leader, NETWORK_MS, () =>
+        leader.onFinished(e.job, { kind: 'changed', ...known }, this.steady()),
+      );
       return;
     }
     this.records.delete(e.job);
@@ -296,7 +321,10 @@
 
   // ---- cloud and workers -----------------------------------------------------------------------------------
 
-  private rent(request: string, order: { type: TypeName; zone: Zone; spot: boolean; count: number }): MachineId[] {
+  private rent(
+    request: string,
+    order: { type: TypeName; zone: Zone; spot: boolean; count: number },
+  ): MachineId[] {
     const known = this.rentals.get(request);
     if (known) return known;
     const ids: MachineId[] = [];
--- a/src/test/sim/worker.ts
+++ b/src/test/sim/worker.ts
@@ -1,7 +1,15 @@
 // Stand-in for a worker, written from the published protocol.
 import type { Checker } from './checker.js';
 import type { VirtualClock } from './clock.js';
-import type { Command, ExitCause, JobSpec, MachineInfo, Report, TaskState, WorkerTimes } from '../../core/types.js';
+import type {
+  Command,
+  ExitCause,
+  JobSpec,
+  MachineInfo,
+  Report,
+  TaskState,
+  WorkerTimes,
+} from '../../core/types.js';
 import type { Attempt, JobId } from '../../core/units.js';
 
 export interface Held {
@@ -135,7 +143,9 @@
       held.state = 'exited';
       held.cause = cause;
     };
-    const twin = [...this.tasks.values()].some((t) => t.job === job && t.index === index && t.state !== 'exited');
+    const twin = [...this.tasks.values()].some(
+      (t) => t.job === job && t.index === index && t.state !== 'exited',
+    );
     this.tasks.set(key, held);
     if (!spec) return refuse('no_such');
     if (twin) return refuse('in_use');
@@ -224,6 +234,8 @@
       free.gpus -= other?.gpus ?? 0;
       free.memoryGb -= other?.memoryGb ?? 0;
     }
-    return spec.cpus <= free.cpus + 1e-6 && spec.gpus <= free.gpus + 1e-6 && spec.memoryGb <= free.memoryGb + 1e-6;
+    return (
+      spec.cpus <= free.cpus + 1e-6 && spec.gpus <= free.gpus + 1e-6 && spec.memoryGb <= free.memoryGb + 1e-6
+    );
   }
 }
--- a/src/test/wire.test.ts
+++ b/src/test/wire.test.ts
@@ -51,7 +51,8 @@
     assert.equal(parseJob(rest).ok, false, `${field} missing`);
   }
   for (const hands of [0, -1, 1.5, 100_001, 2n ** 60n]) assert.equal(parseJob({ ...job, hands }).ok, false);
-  for (const nameId of ['', 'wk-', 'wk-1/2', 'job-1', 'wk-1 ']) assert.equal(parseJob({ ...job, nameId }).ok, false);
+  for (const nameId of ['', 'wk-', 'wk-1/2', 'job-1', 'wk-1 '])
+    assert.equal(parseJob({ ...job, nameId }).ok, false);
 });
 
 test('CBOR: one value exactly', () => {
@@ -83,7 +84,10 @@
   };
   const r = parseReport(decode(encode(report)));
   assert.ok(r.ok && r.value.seq === huge && r.value.tasks[0]!.job === 'wk-1');
-  assert.equal(parseReport({ ...report, hands: [{ hand: 'wk-1/0', try: huge, status: 'running' }] }).ok, false);
+  assert.equal(
+    parseReport({ ...report, hands: [{ hand: 'wk-1/0', try: huge, status: 'running' }] }).ok,
+    false,
+  );
 });
 
 test('wrong types from the cloud are refused as a whole', () => {
