--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -5,8 +5,9 @@
 }
 
 scaling {
-  idle_hold_s = 45
+  idle_hold_s = 15
   capacity_retry_s = 15
+  headroom = 0.3
 }
 
 scheduling {
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -14,6 +14,7 @@
   scaling: block({
     idle_hold_s: between(0, 3600, 45),
     capacity_retry_s: between(1, 600, 15),
+    headroom: between(0, 10, 1),
   }),
   scheduling: block({ cycle_ms: between(20, 10_000, 200) }),
 });
@@ -22,6 +23,7 @@
   leaseMs: number;
   idleHoldS: number;
   capacityRetryS: number;
+  headroom: number;
   cycleMs: number;
 }
 
@@ -31,6 +33,7 @@
     leaseMs: c.leadership[0].lease_ms ?? 3000,
     idleHoldS: c.scaling[0].idle_hold_s ?? 45,
     capacityRetryS: c.scaling[0].capacity_retry_s ?? 15,
+    headroom: c.scaling[0].headroom ?? 1,
     cycleMs: c.scheduling[0].cycle_ms ?? 200,
   };
 };
--- a/src/core/arrivals.ts
+++ b/src/core/arrivals.ts
@@ -20,8 +20,8 @@
     this.classes.set(record.spec.class, h);
   }
 
-  /** Room for the fluctuation of arrivals (a standard deviation) over the time that a new machine takes. */
-  expected(types: MachineType[], now: Steady): { spec: JobSpec; tasks: number }[] {
+  /** Room for the fluctuation of arrivals (so many standard deviations) over the time that a new machine takes. */
+  expected(types: MachineType[], headroom: number, now: Steady): { spec: JobSpec; tasks: number }[] {
     const out: { spec: JobSpec; tasks: number }[] = [];
     for (const h of this.classes.values()) {
       h.arrivals = h.arrivals.filter((a) => now - a.at < WINDOW_MS);
@@ -31,7 +31,7 @@
       const bootS = Math.min(...usable.map((t) => t.bootS * 1.2 + h.spec.imageGb / t.fetchGbPerS));
       const jobs = (h.arrivals.length / (WINDOW_MS / 1000)) * bootS;
       const perJob = h.arrivals.reduce((sum, a) => sum + a.tasks, 0) / h.arrivals.length;
-      out.push({ spec: h.spec, tasks: Math.ceil(Math.sqrt(jobs) * Math.min(perJob, 8)) });
+      out.push({ spec: h.spec, tasks: Math.ceil(headroom * Math.sqrt(jobs) * Math.min(perJob, 8)) });
     }
     return out;
   }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -38,6 +38,8 @@
   teams: TeamLimits[];
   idleHoldS: number;
   capacityRetryS: number;
+  /** Room kept for work still to come, in standard deviations of its arrivals. */
+  headroom: number;
   txnOps: number;
   listLagS: number;
   /** Uniform in [0, 1). */
@@ -795,7 +797,7 @@
       zones: this.zonesOf(job),
       expected: false,
     }));
-    for (const e of this.arrivals.expected(this.types, now)) {
+    for (const e of this.arrivals.expected(this.types, this.settings.headroom, now)) {
       wants.push({ spec: e.spec, tasks: e.tasks, zones: new Map(), expected: true });
     }
     const { refusedUntil } = this;
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -54,6 +54,7 @@
         teams: this.platform.teams,
         idleHoldS: this.operator.idleHoldS,
         capacityRetryS: this.operator.capacityRetryS,
+        headroom: this.operator.headroom,
         txnOps: this.platform.stateLimits.txnOps,
         listLagS: this.platform.cloudLimits.listLagS,
         random: this.random,
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -193,6 +193,7 @@
         teams,
         idleHoldS: 30,
         capacityRetryS: 10,
+        headroom: 1,
         txnOps: 16,
         listLagS: 4,
         random: () => this.random(),
--- a/src/test/wire.test.ts
+++ b/src/test/wire.test.ts
@@ -32,12 +32,13 @@
   dueS: 900.0,
 };
 
+const without = (...fields: string[]): Record<string, unknown> =>
+  Object.fromEntries(Object.entries(job).filter(([name]) => !fields.includes(name)));
+
 test('a job submission is translated; null fields may be omitted, unknown ones are ignored', () => {
   const whole = parseJob(decode(encode({ ...job, color: 'red' })));
   assert.ok(whole.ok && whole.value.kind === 'gang' && whole.value.tasks === 16 && whole.value.spot);
-  const short: Record<string, unknown> = { ...job };
-  for (const field of ['breeds', 'pasture', 'dueS']) delete short[field];
-  const r = parseJob(short);
+  const r = parseJob(without('breeds', 'pasture', 'dueS'));
   assert.ok(r.ok && r.value.types === null && r.value.zone === null && r.value.deadlineS === null);
 });
 
@@ -46,9 +47,7 @@
     const wrong = field === 'breeds' ? 'g8' : Number.NaN;
     assert.equal(parseJob({ ...job, [field]: wrong }).ok, false, `${field} wrong`);
     if (['breeds', 'pasture', 'dueS'].includes(field)) continue;
-    const rest: Record<string, unknown> = { ...job };
-    delete rest[field];
-    assert.equal(parseJob(rest).ok, false, `${field} missing`);
+    assert.equal(parseJob(without(field)).ok, false, `${field} missing`);
   }
   for (const hands of [0, -1, 1.5, 100_001, 2n ** 60n]) assert.equal(parseJob({ ...job, hands }).ok, false);
   for (const nameId of ['', 'wk-', 'wk-1/2', 'job-1', 'wk-1 '])
