Zone cut seen by missed reports; late reports of deleted machines dropped

Cause: machines of a cut zone were fenced one by one before half of the zone counted as silent, and reports held back by the cut made deleted machines known again.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -7,7 +7,7 @@
 scaling {
   idle_hold_s = 15
   capacity_retry_s = 15
-  headroom = 0.3
+  headroom = 0.6
 }
 
 scheduling {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -41,7 +41,6 @@
   /** Room kept for work still to come, in standard deviations of its arrivals. */
   headroom: number;
   txnOps: number;
-  listLagS: number;
   /** Uniform in [0, 1). */
   random: () => number;
 }
@@ -56,6 +55,8 @@
 const ERROR_BACKOFF_MS = 2000;
 const ERROR_BACKOFF_MAX_MS = 60_000;
 const RETURN_RETRY_MS = 1500;
+const GONE_KEPT_MS = 1_800_000;
+const FLEET_LOG_MS = 10_000;
 
 export class Leader {
   readonly machines = new Map<MachineId, Machine>();
@@ -78,6 +79,7 @@
   private rebuilt = false;
   private lastReturn = -Infinity;
   private lastProgress = -Infinity;
+  private lastFleetLog = -Infinity;
 
   constructor(
     readonly leadership: Leadership,
@@ -182,6 +184,8 @@
 
   /** Takes in a report; null if it is older than what is known. */
   private observe(report: Report, now: Steady): Machine | null {
+    // Held back by the network until after its machine was deleted: there is nothing there any more.
+    if (this.gone.has(report.id)) return null;
     const m = this.machines.get(report.id) ?? this.addMachine(report, now);
     const newSession = report.session > m.session;
     if (!newSession && (report.session < m.session || report.seq <= m.seq) && m.lastReportAt !== null)
@@ -447,7 +451,7 @@
   }
 
   onList(listed: ListedMachine[], now: Steady): void {
-    for (const [id, at] of this.gone) if (now - at > this.settings.listLagS * 4000) this.gone.delete(id);
+    for (const [id, at] of this.gone) if (now - at > GONE_KEPT_MS) this.gone.delete(id);
     for (const l of listed) {
       let m = this.machines.get(l.id);
       if (!m) {
@@ -508,6 +512,8 @@
     const { reportS, leaseS, cancelS } = this.settings.workers;
     const patience = Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
     const longPatience = Math.max(patience, cancelS * 600);
+    // A cut silences a whole zone at one moment, but each machine is noticed at its own next report.
+    const missed = (reportS * 1.25 * 1.5 + 0.5) * 1000;
     const silent: Machine[] = [];
     const total = new Map<Zone, number>();
     const quiet = new Map<Zone, number>();
@@ -516,9 +522,8 @@
       const zone = m.info.zone;
       total.set(zone, (total.get(zone) ?? 0) + 1);
       const since = m.lastReportAt ?? this.startedAt;
-      if (now - since < patience) continue;
-      silent.push(m);
-      quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
+      if (now - since >= missed) quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
+      if (now - since >= patience) silent.push(m);
     }
     for (const m of silent) {
       if (m.leaving?.why === 'fence') continue;
@@ -578,6 +583,7 @@
     if (this.readyToPlace(now)) this.schedule(now);
     this.returnLeaving(now);
     this.poke(now);
+    this.logFleet(now);
   }
 
   private enroll(): void {
@@ -595,7 +601,7 @@
   private readyToPlace(now: Steady): boolean {
     if (this.rebuilt) return true;
     const waited = now - this.startedAt;
-    if (this.blockers.size > 0 && waited < this.settings.workers.reportS * 2500 + 1500) return false;
+    if (this.blockers.size > 0 && waited < this.settings.workers.reportS * 1250 + 1500) return false;
     this.rebuilt = true;
     this.log(
       'info',
@@ -860,6 +866,24 @@
     }
   }
 
+  /** Now and then, what the money goes to: machines by type and kind, and how much of them is used. */
+  private logFleet(now: Steady): void {
+    if (now - this.lastFleetLog < FLEET_LOG_MS) return;
+    this.lastFleetLog = now;
+    const fleet: Record<string, { up: number; booting: number; empty: number; gpus: number; used: number }> = {};
+    for (const m of this.machines.values()) {
+      const f = (fleet[`${m.info.type}${m.info.spot ? ' spot' : ''}`] ??= { up: 0, booting: 0, empty: 0, gpus: 0, used: 0 });
+      if (!m.up) f.booting++;
+      else f.up++;
+      if (m.up && !m.busy) f.empty++;
+      f.gpus += m.type?.gpus ?? 0;
+      for (const { job } of m.placements.values()) f.used += job.spec.gpus;
+    }
+    let waiting = 0;
+    for (const job of this.jobs.values()) waiting += job.pendingCount;
+    this.log('info', { fleet, waiting, jobs: this.jobs.size }, 'fleet');
+  }
+
   status(): Record<string, unknown> {
     const jobs = [...this.jobs.values()].map((j) => ({
       id: j.id,
--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -82,6 +82,8 @@
   private satisfy(want: Want): void {
     const zones = new Map(want.zones);
     for (let left = want.tasks; left > 0; left--) {
+      // Expected work is many jobs: spread and one-zone hold within each of them, not over all.
+      if (want.expected && (want.tasks - left) % want.spec.tasks === 0) zones.clear();
       const room = this.findRoom(want.spec, zones) ?? this.newRoom(want, zones, left);
       if (!room) {
         this.stuck += left;
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -24,6 +24,19 @@
 const STATE_FRESH_MS = 2500;
 const MAX_USER_REQUESTS = 32;
 const TYPES_REFRESH_MS = 30_000;
+const FORWARD_TIMEOUT_MS = 2000;
+
+const forwarded = (a: PeerResponse | null): HttpReply | null => {
+  const status = a?.['status'];
+  const body = a?.['body'];
+  const retryAfterS = a?.['retryAfterS'];
+  if (typeof status !== 'number') return null;
+  return {
+    status,
+    ...(body instanceof Uint8Array ? { body: Buffer.from(body) } : {}),
+    ...(typeof retryAfterS === 'number' ? { retryAfterS } : {}),
+  };
+};
 const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 
 export class Controller {
@@ -129,7 +142,7 @@
       }
       this.userRequests++;
       try {
-        reply(await this.users.handle(q));
+        reply(await this.serveUser(q));
         record('user');
       } finally {
         this.userRequests--;
@@ -146,6 +159,18 @@
     }
   }
 
+  /** Refused by the state service alone: a peer that it serves takes the request, so that the user need not. */
+  private async serveUser(q: HttpMessage): Promise<HttpReply> {
+    const own = await this.users.handle(q);
+    if (own.status !== 503) return own;
+    const now = performance.now();
+    const peer = this.links.find((l) => l.alive(now) && l.status?.stateOk);
+    if (!peer) return own;
+    const { method, target, body } = q;
+    const a = await peer.ask({ kind: 'user', method, target, body }, FORWARD_TIMEOUT_MS);
+    return forwarded(a) ?? own;
+  }
+
   private stateOk(): boolean {
     return performance.now() - this.state.lastAnswerAt < STATE_FRESH_MS;
   }
@@ -184,6 +209,12 @@
         const r = await this.checkin.handle(Buffer.from(q.report));
         return { status: r.status, body: r.body ?? Buffer.alloc(0) };
       }
+      case 'user': {
+        const { method, target } = q;
+        const message = { method, target, status: 0, headers: new Map(), keepAlive: true, body: Buffer.from(q.body) };
+        const r = await this.users.handle(message);
+        return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
+      }
       case 'counts':
         return { counts: this.ownCounts(q.job as JobId) };
       default:
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -56,7 +56,6 @@
         capacityRetryS: this.operator.capacityRetryS,
         headroom: this.operator.headroom,
         txnOps: this.platform.stateLimits.txnOps,
-        listLagS: this.platform.cloudLimits.listLagS,
         random: this.random,
       },
       startedAt,
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -21,6 +21,7 @@
 export type PeerRequest =
   | { kind: 'heartbeat'; from: PeerStatus }
   | { kind: 'relay'; report: Uint8Array }
+  | { kind: 'user'; method: string; target: string; body: Uint8Array }
   | { kind: 'counts'; job: string };
 export type PeerResponse = Record<string, unknown>;
 
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -179,11 +179,11 @@
 });
 
 test('scaling: cheapest sufficient type, spot only where allowed, refused capacity left alone', () => {
-  const want = (over: Partial<JobSpec>, tasks: number) => ({
+  const want = (over: Partial<JobSpec>, tasks: number, expected = false) => ({
     spec: jobSpec('wk-1', over),
     tasks,
     zones: new Map<Zone, number>(),
-    expected: false,
+    expected,
   });
   const plan = (wants: ReturnType<typeof want>[], refused: string[] = []) =>
     planScaling({
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -195,7 +195,6 @@
         capacityRetryS: 10,
         headroom: 1,
         txnOps: 16,
-        listLagS: 4,
         random: () => this.random(),
       },
       this.steady(),
@@ -234,7 +233,7 @@
     const ok = !this.stateDown;
     switch (e.kind) {
       case 'log':
-        if (e.level === 'info') this.note(`  ${e.text} ${JSON.stringify(e.fields)}`);
+        if (e.level === 'info' && e.text !== 'fleet') this.note(`  ${e.text} ${JSON.stringify(e.fields)}`);
         return;
       case 'enroll':
         for (const m of e.machines) this.roster.set(m.id, m);
