Leave machine types to the classes that need them; hopeless deadlines go behind

Cause: festas and rotaviva took estufa room that fotoramos needs (one fits a caixa, eight an estufa), and under overload late jobs went first by deadline, making all late in turn.

--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -4,6 +4,7 @@
 import { Job, type Placement } from './job.js';
 import { commandsFor } from './reconcile.js';
 import { runCycle } from './scheduler.js';
+import { Suitability } from './suitability.js';
 import { capacityKey, planScaling, type RentOrder, type Want } from './scaling.js';
 import {
   priorityRank,
@@ -36,6 +37,7 @@
 export interface LeaderSettings {
   workers: WorkerTimes;
   teams: TeamLimits[];
+  objectives: { kind: string; class?: string; within_s?: number }[];
   idleHoldS: number;
   capacityRetryS: number;
   /** Room kept for work still to come, in standard deviations of its arrivals. */
@@ -55,6 +57,7 @@
 const ERROR_BACKOFF_MS = 2000;
 const ERROR_BACKOFF_MAX_MS = 60_000;
 const RETURN_RETRY_MS = 1500;
+const HOPELESS_MS = 86_400_000;
 const GONE_KEPT_MS = 1_800_000;
 const FLEET_LOG_MS = 10_000;
 
@@ -63,10 +66,12 @@
   readonly jobs = new Map<JobId, Job>();
   private types: MachineType[] = [];
   private readonly teams: Map<Team, TeamLimits>;
+  private readonly finishAims = new Map<string, number[]>();
   private readonly refusedUntil = new Map<string, Steady>();
   private readonly refusals = new Map<string, number>();
   private readonly rents = new Map<string, RentOrder>();
   private readonly arrivals = new Arrivals();
+  private readonly suits = new Suitability();
   /** Machines that may hold tasks of an earlier leader and have not reported under our token. */
   private readonly blockers = new Set<MachineId>();
   /** Machines whose return was answered: lists lag and go on showing them for a while. */
@@ -87,6 +92,10 @@
     private readonly startedAt: Steady,
   ) {
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
+    for (const o of settings.objectives) {
+      if (o.kind !== 'finished' || o.class === undefined || o.within_s === undefined) continue;
+      this.finishAims.set(o.class, [...(this.finishAims.get(o.class) ?? []), o.within_s]);
+    }
   }
 
   takeEffects(): Effect[] {
@@ -106,6 +115,7 @@
 
   setTypes(types: MachineType[]): void {
     this.types = types;
+    this.suits.setTypes(types);
     for (const m of this.machines.values()) m.type = types.find((t) => t.name === m.info.type) ?? m.type;
   }
 
@@ -130,6 +140,7 @@
     const job = new Job(id, record, stamp, inherited, now);
     this.jobs.set(id, job);
     this.arrivals.note(record, now, wall);
+    this.suits.note(record.spec);
     this.dirty = true;
     this.log('debug', { job: id, class: record.spec.class, tasks: record.spec.tasks }, 'job known');
   }
@@ -580,7 +591,7 @@
     this.watchSilence(now, wall);
     this.watchBoots(now);
     this.finishJobs(now);
-    if (this.readyToPlace(now)) this.schedule(now);
+    if (this.readyToPlace(now)) this.schedule(now, wall);
     this.returnLeaving(now);
     this.poke(now);
     this.logFleet(now);
@@ -680,7 +691,7 @@
     return usage;
   }
 
-  private waiting(now: Steady): { queue: Job[]; blocked: Job[] } {
+  private waiting(now: Steady, wall: WallTime): { queue: Job[]; blocked: Job[] } {
     const queue: Job[] = [];
     const blocked: Job[] = [];
     for (const job of this.jobs.values()) {
@@ -695,7 +706,8 @@
         queue.push(job);
       }
     }
-    const due = (j: Job): number => j.record.submittedAt + (j.spec.deadlineS ?? 600) * 1000;
+    const dues = new Map(queue.map((j) => [j, this.due(j, wall)]));
+    const due = (j: Job): number => dues.get(j)!;
     queue.sort(
       (a, b) =>
         priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
@@ -705,10 +717,28 @@
     return { queue, blocked };
   }
 
-  private schedule(now: Steady): void {
+  /**
+   * When a job should be over: the nearest aim that it can still meet. One that can meet none goes behind those
+   * that can, lest under overload everybody is late in turn.
+   */
+  private due(job: Job, wall: WallTime): number {
+    const { deadlineS, estimateS } = job.spec;
+    const aims = this.finishAims.get(job.spec.class) ?? [];
+    const limits = deadlineS === null ? aims : [deadlineS, ...aims];
+    const soonest = wall + estimateS * 1000;
+    let best = Infinity;
+    for (const s of limits) {
+      const at = job.record.submittedAt + s * 1000;
+      if (at >= soonest) best = Math.min(best, at);
+    }
+    if (best < Infinity) return best;
+    return limits.length === 0 ? job.record.submittedAt : job.record.submittedAt + HOPELESS_MS;
+  }
+
+  private schedule(now: Steady, wall: WallTime): void {
     if (!this.dirty && !this.hasDue(now)) return;
     this.dirty = false;
-    const { queue, blocked } = this.waiting(now);
+    const { queue, blocked } = this.waiting(now, wall);
     const result = runCycle({
       machines: this.machines,
       queue,
@@ -718,6 +748,7 @@
       now,
       silentMs: this.settings.workers.reportS * 2500,
       maxTasks: MAX_TASKS_A_CYCLE,
+      suits: (spec, type) => this.suits.penalty(spec, type),
     });
     for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
     const gangAttempts = new Map<JobId, ReturnType<typeof attemptOf>>();
@@ -870,9 +901,16 @@
   private logFleet(now: Steady): void {
     if (now - this.lastFleetLog < FLEET_LOG_MS) return;
     this.lastFleetLog = now;
-    const fleet: Record<string, { up: number; booting: number; empty: number; gpus: number; used: number }> = {};
+    const fleet: Record<string, { up: number; booting: number; empty: number; gpus: number; used: number }> =
+      {};
     for (const m of this.machines.values()) {
-      const f = (fleet[`${m.info.type}${m.info.spot ? ' spot' : ''}`] ??= { up: 0, booting: 0, empty: 0, gpus: 0, used: 0 });
+      const f = (fleet[`${m.info.type}${m.info.spot ? ' spot' : ''}`] ??= {
+        up: 0,
+        booting: 0,
+        empty: 0,
+        gpus: 0,
+        used: 0,
+      });
       if (!m.up) f.booting++;
       else f.up++;
       if (m.up && !m.busy) f.empty++;
--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -49,7 +49,7 @@
 export const capacityKey = (type: TypeName, zone: Zone, spot: boolean): string => `${type}|${zone}|${spot}`;
 
 /** How many tasks of this kind an empty machine of the type takes. */
-const perMachine = (spec: Amounts, type: MachineType): number => {
+export const perMachine = (spec: Amounts, type: MachineType): number => {
   let n = 100_000;
   if (spec.cpus > 0) n = Math.min(n, Math.floor(type.cpus / spec.cpus + 1e-6));
   if (spec.gpus > 0) n = Math.min(n, Math.floor(type.gpus / spec.gpus + 1e-6));
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -3,7 +3,7 @@
 import { add, fits, type Machine } from './cluster.js';
 import type { Job, Placement } from './job.js';
 import { priorityRank, type Amounts, type JobSpec, type TeamLimits } from './types.js';
-import type { JobId, MachineId, Steady, Team, Zone } from './units.js';
+import type { JobId, MachineId, Steady, Team, TypeName, Zone } from './units.js';
 
 interface Victim {
   job: Job;
@@ -42,9 +42,12 @@
   silentMs: number;
   /** Tasks considered for each array or service in one cycle: bounds the time a cycle takes. */
   maxTasks: number;
+  /** How badly a machine type suits a task, against how badly it suits the others; about -2 to 2. */
+  suits: (spec: JobSpec, type: TypeName) => number;
 }
 
 const OPEN_EMPTY_S = 8;
+const SUITS_S = 10;
 const ORDINARY_FOR_SPOT_S = 4;
 
 export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
@@ -259,6 +262,7 @@
       ? 0
       : (spec.imageGb / type.fetchGbPerS) * (1 + 0.5 * slot.fetches);
     if (slot.empty) score += OPEN_EMPTY_S;
+    score += SUITS_S * this.input.suits(spec, slot.machine.info.type);
     if (spec.spot && !slot.machine.info.spot) score += ORDINARY_FOR_SPOT_S;
     const left =
       type.gpus > 0 ? (slot.free.gpus - spec.gpus) / type.gpus : (slot.free.cpus - spec.cpus) / type.cpus;
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -211,7 +211,14 @@
       }
       case 'user': {
         const { method, target } = q;
-        const message = { method, target, status: 0, headers: new Map(), keepAlive: true, body: Buffer.from(q.body) };
+        const message = {
+          method,
+          target,
+          status: 0,
+          headers: new Map(),
+          keepAlive: true,
+          body: Buffer.from(q.body),
+        };
         const r = await this.users.handle(message);
         return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
       }
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -52,6 +52,7 @@
       {
         workers: this.platform.workers,
         teams: this.platform.teams,
+        objectives: this.platform.objectives,
         idleHoldS: this.operator.idleHoldS,
         capacityRetryS: this.operator.capacityRetryS,
         headroom: this.operator.headroom,
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -81,6 +81,7 @@
     now,
     silentMs: 5000,
     maxTasks: 40,
+    suits: () => 0,
   });
 };
 
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -191,6 +191,7 @@
       {
         workers: times,
         teams,
+        objectives: [],
         idleHoldS: 30,
         capacityRetryS: 10,
         headroom: 1,
