--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -901,8 +901,10 @@
   private logFleet(now: Steady): void {
     if (now - this.lastFleetLog < FLEET_LOG_MS) return;
     this.lastFleetLog = now;
-    const fleet: Record<string, { up: number; booting: number; empty: number; gpus: number; used: number }> =
-      {};
+    const fleet: Record<
+      string,
+      { up: number; booting: number; empty: number; gpus: number; used: number; idle: number }
+    > = {};
     for (const m of this.machines.values()) {
       const f = (fleet[`${m.info.type}${m.info.spot ? ' spot' : ''}`] ??= {
         up: 0,
@@ -910,12 +912,16 @@
         empty: 0,
         gpus: 0,
         used: 0,
+        idle: 0,
       });
       if (!m.up) f.booting++;
       else f.up++;
       if (m.up && !m.busy) f.empty++;
       f.gpus += m.type?.gpus ?? 0;
-      for (const { job } of m.placements.values()) f.used += job.spec.gpus;
+      for (const { job, placement } of m.placements.values()) {
+        f.used += job.spec.gpus;
+        if (!placement.running) f.idle += job.spec.gpus;
+      }
     }
     let waiting = 0;
     for (const job of this.jobs.values()) waiting += job.pendingCount;
