Keep cheap machines first, let dear empty ones go back, prefer spot more

Cause: a fifth of ordinary machines stood empty, kept for expected work that cheaper ones could take. Ruled out: idle hold (15 s already).

--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -25,7 +25,9 @@
   zone: Zone;
   spot: boolean;
   machine: MachineId | null;
-  order: string | null;
+  busy: boolean;
+  /** An hour of one accelerator, or of one CPU where there are none. */
+  price: number;
 }
 
 export interface ScalingInput {
@@ -60,6 +62,9 @@
 export const fitsSomeType = (spec: JobSpec, types: MachineType[]): boolean =>
   types.some((t) => t.zones.some((z) => mayRunOn(spec, t.name, z, false)) && fits(spec, t));
 
+const unitPrice = (t: MachineType, spot: boolean): number =>
+  (spot ? t.spotPrice : t.price) / (t.gpus > 0 ? t.gpus : t.cpus);
+
 class Plan {
   private readonly rooms: Room[] = [];
   private readonly orders = new Map<string, RentOrder>();
@@ -70,7 +75,16 @@
   constructor(private readonly input: ScalingInput) {
     for (const { machine, free } of input.rooms) {
       const { type, zone, spot } = machine.info;
-      this.rooms.push({ free: { ...free }, type, zone, spot, machine: machine.id, order: null });
+      const price = machine.type ? unitPrice(machine.type, spot) : 0;
+      this.rooms.push({
+        free: { ...free },
+        type,
+        zone,
+        spot,
+        machine: machine.id,
+        busy: machine.busy,
+        price,
+      });
     }
   }
 
@@ -100,17 +114,23 @@
     return !spec.spread || (zones.get(zone) ?? 0) < Math.ceil(spec.tasks / 2);
   }
 
-  /** The fullest room that takes it, so that empty machines stay empty and can go back. */
+  /** Machines in use first, then cheap ones, then full ones: the dear and empty ones are free to go back. */
   private findRoom(spec: JobSpec, zones: Map<Zone, number>): Room | null {
     let best: Room | null = null;
     for (const r of this.rooms) {
       if (!fits(spec, r.free) || !mayRunOn(spec, r.type, r.zone, r.spot)) continue;
       if (!this.zoneAllowed(spec, r.zone, zones)) continue;
-      if (best === null || r.free.gpus < best.free.gpus) best = r;
+      if (best === null || this.before(r, best)) best = r;
     }
     return best;
   }
 
+  private before(a: Room, b: Room): boolean {
+    if (a.busy !== b.busy) return a.busy;
+    if (a.price !== b.price) return a.price < b.price;
+    return a.free.gpus < b.free.gpus;
+  }
+
   private newRoom(want: Want, zones: Map<Zone, number>, left: number): Room | null {
     if (this.fresh >= this.input.maxNew) return null;
     const spec = want.spec;
@@ -145,14 +165,10 @@
     this.orders.set(key, order);
     const { cpus, gpus, memoryGb } = best.type;
     const free = { cpus, gpus, memoryGb };
-    const room: Room = {
-      free,
-      type: best.type.name,
-      zone: best.zone,
-      spot: best.spot,
-      machine: null,
-      order: key,
-    };
+    const { zone, spot } = best;
+    const price = unitPrice(best.type, spot);
+    // Rented for this work: as good as in use.
+    const room: Room = { free, type: best.type.name, zone, spot, machine: null, busy: true, price };
     this.rooms.push(room);
     return room;
   }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -52,7 +52,7 @@
 const SUITS_S = 10;
 const WORTH_WAITING_S = 15;
 const WAIT_SHARE = 0.7;
-const ORDINARY_FOR_SPOT_S = 4;
+const ORDINARY_FOR_SPOT_S = 8;
 
 export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
   (spec.types === null || spec.types.some((t) => t === type)) &&
