--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -17,7 +17,8 @@
   releasing: Amounts;
   /** Room that tasks ending here will leave to jobs that wait for it. */
   promised: Amounts;
-  fetches: number;
+  /** Images being fetched here, with their sizes: they share the rate. */
+  fetching: Map<string, number>;
   empty: boolean;
 }
 
@@ -52,6 +53,7 @@
 const SUITS_S = 10;
 const WORTH_WAITING_S = 15;
 const WAIT_SHARE = 0.7;
+const SLOWS_OTHERS = 0.3;
 const ORDINARY_FOR_SPOT_S = 8;
 
 export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
@@ -111,13 +113,13 @@
     const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
     add(free, m.used(this.input.specOf), -1);
     const releasing = { cpus: 0, gpus: 0, memoryGb: 0 };
-    let fetches = 0;
+    const fetching = new Map<string, number>();
     for (const { job, placement } of m.placements.values()) {
       if (placement.stop) add(releasing, job.spec);
-      if (!placement.running) fetches++;
+      if (!placement.running && !m.hasImage(job.spec.image)) fetching.set(job.spec.image, job.spec.imageGb);
     }
     const promised = { cpus: 0, gpus: 0, memoryGb: 0 };
-    const slot = { machine: m, free, releasing, promised, fetches, empty: !m.busy };
+    const slot = { machine: m, free, releasing, promised, fetching, empty: !m.busy };
     this.slots.push(slot);
     this.byId.set(m.id, slot);
   }
@@ -143,6 +145,7 @@
       const slot = hopeless ? null : this.best(job, zones);
       if (slot) {
         if (this.betterWait(job, slot, zones)) return;
+
         this.assume(job, pending[i]!, slot, zones);
         continue;
       }
@@ -181,7 +184,8 @@
       if (plan && (bestPlan === null || plan.cost < bestPlan.cost)) bestPlan = plan;
     }
     if (bestPlan) {
-      if (pending.length === 1 && this.betterWait(job, bestPlan.slots[0]!, new Map())) return;
+      const only = pending.length === 1 ? bestPlan.slots[0]! : null;
+      if (only && this.betterWait(job, only, new Map())) return;
       bestPlan.slots.forEach((slot, i) => this.assume(job, pending[i]!, slot, new Map()));
       return;
     }
@@ -264,7 +268,12 @@
 
   private fetchS(spec: JobSpec, slot: Slot): number {
     if (slot.machine.hasImage(spec.image)) return 0;
-    return (spec.imageGb / slot.machine.type!.fetchGbPerS) * (1 + 0.5 * slot.fetches);
+    const rate = slot.machine.type!.fetchGbPerS;
+    let others = 0;
+    for (const gb of slot.fetching.values()) others += gb;
+    // Under way already: what is left of it isn't known, so a part of the whole.
+    if (slot.fetching.has(spec.image)) return (0.7 * others) / rate;
+    return Math.min(spec.imageGb * (slot.fetching.size + 1), spec.imageGb + others) / rate;
   }
 
   /**
@@ -308,9 +317,10 @@
   /** Expected seconds until the task can start, plus what it costs to use up this machine's room. */
   private score(spec: JobSpec, slot: Slot): number {
     const type = slot.machine.type!;
-    let score = slot.machine.hasImage(spec.image)
-      ? 0
-      : (spec.imageGb / type.fetchGbPerS) * (1 + 0.5 * slot.fetches);
+    let score = this.fetchS(spec, slot);
+    if (!slot.machine.hasImage(spec.image) && !slot.fetching.has(spec.image)) {
+      score += (SLOWS_OTHERS * slot.fetching.size * spec.imageGb) / type.fetchGbPerS;
+    }
     if (slot.empty) score += OPEN_EMPTY_S;
     score += SUITS_S * this.input.suits(spec, slot.machine.info.type);
     if (spec.spot && !slot.machine.info.spot) score += ORDINARY_FOR_SPOT_S;
@@ -322,7 +332,7 @@
   private assume(job: Job, index: number, slot: Slot, zones: Map<Zone, number>): void {
     this.take(job, slot, zones);
     slot.empty = false;
-    if (!slot.machine.hasImage(job.spec.image)) slot.fetches++;
+    if (!slot.machine.hasImage(job.spec.image)) slot.fetching.set(job.spec.image, job.spec.imageGb);
     this.result.placed.push({ job, index, machine: slot.machine });
   }
 
