Report through a controller of the worker's zone; keep-alive counts from heartbeats

Cause: a follower counted its keep-alive window from the last report it had seen itself, which in ordinary times is none, so workers behind a cut got 503 and lost their leases; and a worker could try two cut-off controllers before one in its zone, longer than its lease.

--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -32,7 +32,12 @@
     private readonly log: Logger,
   ) {}
 
-  async handle(body: Buffer): Promise<HttpReply> {
+  /** A leader was heard of, by whatever message: keeping workers alive is bounded from here. */
+  sawLeader(): void {
+    this.leaderSeenAt = steady();
+  }
+
+  async handle(body: Buffer, relayed = false): Promise<HttpReply> {
     const parsed = parseReport(tryDecode(body));
     if (!parsed.ok) {
       this.log.limited('report', 'info', { cause: parsed.cause }, 'malformed report refused');
@@ -41,7 +46,7 @@
     const report = parsed.value;
     const now = steady();
     const link = this.leaderLink(now);
-    if (this.membership.holdsLease) return this.asLeader(report, now);
+    if (this.membership.holdsLease) return this.asLeader(report, relayed, now);
     if (link) {
       this.leaderSeenAt = now;
       return this.toLeader(report, body, link, now);
@@ -49,30 +54,44 @@
     return this.keepAlive(report, now);
   }
 
-  private asLeader(report: Report, now: Steady): HttpReply {
+  private asLeader(report: Report, relayed: boolean, now: Steady): HttpReply {
     const loop = this.leading();
     const term = this.membership.election.held!.term;
     // An answer under a lower token would be dropped and would hold the worker here.
     if (report.token > term) return elsewhere(null);
     if (this.membership.authority) {
       this.leaderSeenAt = now;
+      const closer = relayed ? null : this.closerTo(report, now);
+      if (closer && this.bounce(report.id, now)) return elsewhere(closer.name);
       return answer(200, reportAnswer(term, loop?.report(report) ?? []));
     }
     loop?.core?.onReportWithoutAuthority(report, now);
     return this.keepAlive(report, now);
   }
 
-  private async toLeader(report: Report, body: Buffer, link: PeerLink, now: Steady): Promise<HttpReply> {
-    const last = this.bounces.get(report.id);
+  /**
+   * A controller in the worker's own zone passes its reports on. When the zones are cut apart, the worker is then
+   * already where it can be kept alive: trying the others one by one could outlast its lease.
+   */
+  private closerTo(report: Report, now: Steady): PeerLink | null {
+    if (report.zone === this.platform.zone) return null;
+    return this.links.find((l) => l.zone === report.zone && l.alive(now)) ?? null;
+  }
+
+  /** False for a worker that was sent away twice and is back: it can't reach where it was sent. */
+  private bounce(id: MachineId, now: Steady): boolean {
+    const last = this.bounces.get(id);
     const windowMs = this.platform.workers.leaseS * 1000;
     const count = last && now - last.at < windowMs ? last.count : 0;
-    if (count < BOUNCES_BEFORE_RELAY) {
-      if (this.bounces.size > 2000) this.bounces.clear();
-      this.bounces.set(report.id, { count: count + 1, at: now });
-      return elsewhere(link.name);
-    }
-    // Sent away twice and back again: this worker can't reach the leader, but we can.
-    this.bounces.set(report.id, { count, at: now });
+    if (this.bounces.size > 2000) this.bounces.clear();
+    const away = count < BOUNCES_BEFORE_RELAY;
+    this.bounces.set(id, { count: away ? count + 1 : count, at: now });
+    return away;
+  }
+
+  private async toLeader(report: Report, body: Buffer, link: PeerLink, now: Steady): Promise<HttpReply> {
+    const own = report.zone === this.platform.zone && link.zone !== this.platform.zone;
+    if (!own && this.bounce(report.id, now)) return elsewhere(link.name);
     const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -196,7 +196,9 @@
   }
 
   private heard(s: PeerStatus): void {
-    if (s.leading) this.membership.learn(s.node, s.term);
+    if (!s.leading) return;
+    this.membership.learn(s.node, s.term);
+    this.checkin.sawLeader();
   }
 
   private async answer(q: PeerRequest): Promise<PeerResponse> {
@@ -206,7 +208,7 @@
         return { status: this.status() };
       case 'relay': {
         if (!this.membership.holdsLease) return {};
-        const r = await this.checkin.handle(Buffer.from(q.report));
+        const r = await this.checkin.handle(Buffer.from(q.report), true);
         return { status: r.status, body: r.body ?? Buffer.alloc(0) };
       }
       case 'user': {
