--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -30,11 +30,12 @@
     private readonly links: PeerLink[],
     private readonly leading: () => LeaderLoop | null,
     private readonly log: Logger,
+    private readonly clock: () => Steady = steady,
   ) {}
 
   /** A leader was heard of, by whatever message: keeping workers alive is bounded from here. */
   sawLeader(): void {
-    this.leaderSeenAt = steady();
+    this.leaderSeenAt = this.clock();
   }
 
   async handle(body: Buffer, relayed = false): Promise<HttpReply> {
@@ -44,7 +45,7 @@
       return answer(400, { error: parsed.cause });
     }
     const report = parsed.value;
-    const now = steady();
+    const now = this.clock();
     const link = this.leaderLink(now);
     if (this.membership.holdsLease) return this.asLeader(report, relayed, now);
     if (link) {
@@ -97,7 +98,7 @@
     const bytes = relayed?.['body'];
     if (typeof status === 'number' && bytes instanceof Uint8Array)
       return { status, body: Buffer.from(bytes) };
-    return this.keepAlive(report, steady());
+    return this.keepAlive(report, this.clock());
   }
 
   /**
