--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -61,6 +61,10 @@
     return this.up && this.settled && this.leaving === null && !this.sick && this.noticeAt === null;
   }
 
+  imageList(): [string, number][] {
+    return [...this.images];
+  }
+
   hasImage(image: string): boolean {
     return this.images.has(image);
   }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -34,6 +34,8 @@
   | { kind: 'orders'; machine: MachineId; endpoint: Endpoint; session: Counter; commands: Command[] }
   | { kind: 'log'; level: 'info' | 'debug'; fields: Record<string, unknown>; text: string };
 
+export type ImageHints = Record<string, [string, number][]>;
+
 export interface LeaderSettings {
   workers: WorkerTimes;
   teams: TeamLimits[];
@@ -113,6 +115,20 @@
     this.blockers.add(info.id);
   }
 
+  /** Which machine caches what: told to the other controllers, since reports don't say it. */
+  imageHints(): ImageHints {
+    const hints: ImageHints = {};
+    for (const m of this.machines.values()) if (m.up) hints[m.id] = m.imageList();
+    return hints;
+  }
+
+  /** What the leader before us knew of the machines' caches. A wrong hint costs a fetch, nothing else. */
+  loadImageHints(hints: ImageHints): void {
+    for (const [id, images] of Object.entries(hints)) {
+      for (const [image, gb] of images) this.machines.get(id as MachineId)?.useImage(image, gb);
+    }
+  }
+
   setTypes(types: MachineType[]): void {
     this.types = types;
     this.suits.setTypes(types);
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -16,6 +16,7 @@
 import type { Operator } from '../config/operator.js';
 import type { Address, Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
+import type { ImageHints } from '../core/leader.js';
 import type { MachineType } from '../core/types.js';
 import type { JobId } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
@@ -25,6 +26,14 @@
 const MAX_USER_REQUESTS = 32;
 const TYPES_REFRESH_MS = 30_000;
 const FORWARD_TIMEOUT_MS = 2000;
+const HINTS_MS = 3000;
+
+const isHints = (x: unknown): x is ImageHints =>
+  typeof x === 'object' &&
+  x !== null &&
+  Object.values(x).every(
+    (v) => Array.isArray(v) && v.every((i) => Array.isArray(i) && typeof i[0] === 'string'),
+  );
 
 const forwarded = (a: PeerResponse | null): HttpReply | null => {
   const status = a?.['status'];
@@ -50,6 +59,7 @@
   private readonly random: () => number;
   private loop: LeaderLoop | null = null;
   private types: MachineType[] = [];
+  private hints: ImageHints = {};
   private userRequests = 0;
   private refused = 0;
   private readonly times = { user: createHistogram(), report: createHistogram() };
@@ -106,6 +116,7 @@
     for (const link of this.links) link.start();
     this.membership.start();
     void this.keepTypes();
+    setInterval(() => this.shareHints(), HINTS_MS);
     this.log.info({ zone: this.platform.zone }, 'started');
   }
 
@@ -224,6 +235,9 @@
         const r = await this.users.handle(message);
         return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
       }
+      case 'hints':
+        if (isHints(q.images)) this.hints = q.images;
+        return {};
       case 'counts':
         return { counts: this.ownCounts(q.job as JobId) };
       default:
@@ -231,6 +245,14 @@
     }
   }
 
+  /** A new leader finds out by reports what runs where, but not which images are cached: its peers tell it. */
+  private shareHints(): void {
+    const images = this.loop?.core?.imageHints();
+    if (!images) return;
+    this.hints = images;
+    for (const link of this.links) void link.ask({ kind: 'hints', images }, 1000);
+  }
+
   private ownCounts(id: JobId): { done: number; running: number } | null {
     const job = this.loop?.core?.jobs.get(id);
     return job ? { done: job.doneCount, running: job.runningCount } : null;
@@ -268,7 +290,17 @@
     this.loop?.stop();
     this.state.setShare(0.5);
     const { platform, operator, membership, state, cloud, log, random } = this;
-    this.loop = new LeaderLoop(platform, operator, membership, state, cloud, log, random, () => this.types);
+    this.loop = new LeaderLoop(
+      platform,
+      operator,
+      membership,
+      state,
+      cloud,
+      log,
+      random,
+      () => this.types,
+      this.hints,
+    );
     void this.loop.start();
   }
 
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -6,7 +6,7 @@
 import { reserves, type StateClient } from './state-client.js';
 import { parseAddress, type Platform } from '../config/platform.js';
 import type { Operator } from '../config/operator.js';
-import { Leader, type Effect } from '../core/leader.js';
+import { Leader, type Effect, type ImageHints } from '../core/leader.js';
 import type { MachineType, Report } from '../core/types.js';
 import type { Counter, Endpoint, JobId, MachineId, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
@@ -37,6 +37,7 @@
     private readonly log: Logger,
     private readonly random: () => number,
     private readonly types: () => MachineType[],
+    private readonly hints: ImageHints,
   ) {}
 
   get core(): Leader | null {
@@ -70,6 +71,7 @@
       const m = wire.parseMachine(item.data);
       if (m) leader.loadMachine(m, startedAt);
     }
+    leader.loadImageHints(this.hints);
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
     for (const item of progress.items) {
       const [, id, chunk] = item.key.split('/');
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -2,6 +2,7 @@
 // answers what the peers ask on their own connections.
 import { connect, type Socket } from 'node:net';
 import type { Platform } from '../config/platform.js';
+import type { ImageHints } from '../core/leader.js';
 import type { NodeName, Term, Zone } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 
@@ -22,6 +23,7 @@
   | { kind: 'heartbeat'; from: PeerStatus }
   | { kind: 'relay'; report: Uint8Array }
   | { kind: 'user'; method: string; target: string; body: Uint8Array }
+  | { kind: 'hints'; images: ImageHints }
   | { kind: 'counts'; job: string };
 export type PeerResponse = Record<string, unknown>;
 
--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -150,6 +150,28 @@
   );
 });
 
+test('a new leader places by the caches that the leader before it knew', () => {
+  const day = new Day(6);
+  day.submit(
+    jobSpec('wk-1', { image: 'img-9', imageGb: 20, estimateS: 5, kind: 'service', tasks: 2, spread: true }),
+  );
+  day.clock.runUntil(90_000);
+  const hints = day.leader!.imageHints();
+  const warm = Object.keys(hints).filter((id) => hints[id]!.some(([image]) => image === 'img-9'));
+  assert.equal(warm.length, 2);
+  day.cancel('wk-1' as JobId);
+  day.clock.runUntil(95_000);
+  day.elect();
+  day.leader!.loadImageHints(hints);
+  day.clock.runUntil(100_000);
+  day.submit(jobSpec('wk-2', { image: 'img-9', imageGb: 20, estimateS: 30 }));
+  day.clock.runUntil(101_000);
+  const placed = [...day.leader!.jobs.get('wk-2' as JobId)!.placements.values()].map(
+    (p) => p.machine as string,
+  );
+  assert.ok(placed.length === 1 && warm.includes(placed[0]!), `${placed} of ${warm}`);
+});
+
 test('trace: a gang is placed whole, survives a leader, and ends', () => {
   const day = new Day(1);
   day.submit(jobSpec('wk-1', { kind: 'gang', tasks: 3, oneZone: true, estimateS: 60 }));
