--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -19,6 +19,8 @@
   promised: Amounts;
   /** Images being fetched here, with their sizes: they share the rate. */
   fetching: Map<string, number>;
+  /** Expected seconds until a booting machine is up; 0 when it is. */
+  readyInS: number;
   empty: boolean;
 }
 
@@ -88,8 +90,17 @@
   return zones;
 };
 
+/** By the type's nominal time; a machine well past it is not counted on. */
+const bootLeftS = (m: Machine, now: Steady): number => {
+  const bootS = m.type!.bootS;
+  const leftS = bootS - (now - m.rentedAt) / 1000;
+  if (leftS > 1) return leftS;
+  return leftS > -0.5 * bootS ? Math.max(1, bootS * 0.1) : Infinity;
+};
+
 class Cycle {
   private readonly slots: Slot[] = [];
+  private readonly booting: Slot[] = [];
   private readonly byId = new Map<MachineId, Slot>();
   private readonly usage = new Map<Team, Amounts>();
   private readonly hopeless = new Set<string>();
@@ -107,7 +118,9 @@
   }
 
   private addSlot(m: Machine): void {
-    if (!m.schedulable || !m.type) return;
+    if (!m.type) return;
+    const readyInS = m.up ? 0 : bootLeftS(m, this.input.now);
+    if (m.up ? !m.schedulable : readyInS === Infinity || m.leaving !== null) return;
     // A silent machine may be gone: nothing new goes there.
     if (m.lastReportAt !== null && this.input.now - m.lastReportAt > this.input.silentMs) return;
     const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
@@ -119,7 +132,11 @@
       if (!placement.running && !m.hasImage(job.spec.image)) fetching.set(job.spec.image, job.spec.imageGb);
     }
     const promised = { cpus: 0, gpus: 0, memoryGb: 0 };
-    const slot = { machine: m, free, releasing, promised, fetching, empty: !m.busy };
+    const slot = { machine: m, free, releasing, promised, fetching, readyInS, empty: !m.busy };
+    if (!m.up) {
+      this.booting.push(slot);
+      return;
+    }
     this.slots.push(slot);
     this.byId.set(m.id, slot);
   }
@@ -145,6 +162,7 @@
       const slot = hopeless ? null : this.best(job, zones);
       if (slot) {
         if (this.betterWait(job, slot, zones)) return;
+        if (this.betterBoot(job, slot, zones)) continue;
 
         this.assume(job, pending[i]!, slot, zones);
         continue;
@@ -276,6 +294,27 @@
     return Math.min(spec.imageGb * (slot.fetching.size + 1), spec.imageGb + others) / rate;
   }
 
+  /** Rather than a second fetch beside a running one: a machine that is about to be up, and fetches this alone. */
+  private betterBoot(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
+    const { spec } = job;
+    if (slot.machine.hasImage(spec.image) || slot.fetching.has(spec.image) || slot.fetching.size === 0)
+      return false;
+    let best: Slot | null = null;
+    let bestS = this.fetchS(spec, slot);
+    for (const boot of this.booting) {
+      if (!fits(spec, boot.free) || !this.allowed(job, boot, zones, null)) continue;
+      const s = boot.readyInS + this.fetchS(spec, boot);
+      if (s >= bestS) continue;
+      best = boot;
+      bestS = s;
+    }
+    if (!best) return false;
+    add(best.free, spec, -1);
+    best.fetching.set(spec.image, spec.imageGb);
+    job.reason = { why: 'machines booting' };
+    return true;
+  }
+
   /**
    * A machine that has the image and is expected to be free well before a fetch elsewhere would end is worth
    * waiting for: the task starts earlier, and no machine stands idle while it fetches.
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -140,6 +140,18 @@
   assert.equal(high.reason.why, 'waiting for victims');
 });
 
+test('a second image is not fetched beside a running fetch when another machine is about to be up', () => {
+  const a = machine('a', 'large', 'east');
+  put(a, job('wk-8', { image: 'img-8', imageGb: 30 }), 0).running = false;
+  const b = machine('b', 'large', 'east');
+  b.up = b.settled = false;
+  b.rentedAt = (now - 18_000) as Steady;
+  const waits = job('wk-1', { image: 'img-1', imageGb: 30 });
+  assert.deepEqual(show(cycle([a, b], [waits])), []);
+  assert.equal(waits.reason.why, 'machines booting');
+  assert.deepEqual(show(cycle([a], [waits])), ['wk-1/0 -> a']);
+});
+
 test('spread: at most half of the tasks, rounded up, in a zone', () => {
   const service = job('wk-1', { kind: 'service', tasks: 3, spread: true });
   const r = cycle([machine('a', 'large', 'east')], [service]);
