Relay at once a worker that has the leader's token and left it

Cause: a leader cut off from the workers alone; followers sent its workers back twice, four seconds each, and their leases ran out.

--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -12,9 +12,9 @@
 const schema = v.strictObject({
   leadership: block({ lease_ms: between(500, 60_000, 3000) }),
   scaling: block({
-    idle_hold_s: between(0, 3600, 45),
+    idle_hold_s: between(0, 3600, 15),
     capacity_retry_s: between(1, 600, 15),
-    headroom: between(0, 10, 1),
+    headroom: between(0, 10, 0.6),
   }),
   scheduling: block({ cycle_ms: between(20, 10_000, 200) }),
 });
@@ -31,9 +31,9 @@
   const c = check(schema, raw, 'operator settings');
   return {
     leaseMs: c.leadership[0].lease_ms ?? 3000,
-    idleHoldS: c.scaling[0].idle_hold_s ?? 45,
+    idleHoldS: c.scaling[0].idle_hold_s ?? 15,
     capacityRetryS: c.scaling[0].capacity_retry_s ?? 15,
-    headroom: c.scaling[0].headroom ?? 1,
+    headroom: c.scaling[0].headroom ?? 0.6,
     cycleMs: c.scheduling[0].cycle_ms ?? 200,
   };
 };
--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -7,7 +7,7 @@
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { Report } from '../core/types.js';
-import type { MachineId, Steady } from '../core/units.js';
+import { sameCounter, type MachineId, type Steady } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import { parseReport, redirectBody, reportAnswer } from '../wire/workers.js';
 import type { Logger } from './logger.js';
@@ -92,7 +92,9 @@
 
   private async toLeader(report: Report, body: Buffer, link: PeerLink, now: Steady): Promise<HttpReply> {
     const own = report.zone === this.platform.zone && link.zone !== this.platform.zone;
-    if (!own && this.bounce(report.id, now)) return elsewhere(link.name);
+    // It has the leader's token, so it was there and left: it can't reach the leader, and its lease is running.
+    const left = sameCounter(report.token, highestTerm(this.membership.election));
+    if (!own && !left && this.bounce(report.id, now)) return elsewhere(link.name);
     const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
--- a/src/test/checkin.test.ts
+++ b/src/test/checkin.test.ts
@@ -59,14 +59,21 @@
   const { world, report } = follower();
   assert.equal(await report('east'), '200 {"reins":3,"calls":[]}');
   assert.equal(world.relayed, 1);
-  assert.equal(await report('west'), '421 {"foreman":"stable-1"}');
+  assert.equal(await report('west', 2), '421 {"foreman":"stable-1"}');
 });
 
 test('a worker that was sent to the leader twice and is back is relayed', async () => {
   const { world, report } = follower();
-  await report('west');
-  await report('west');
-  assert.equal(await report('west'), '200 {"reins":3,"calls":[]}');
+  await report('west', 2);
+  await report('west', 2);
+  assert.equal(await report('west', 2), '200 {"reins":3,"calls":[]}');
+  assert.equal(world.relayed, 1);
+});
+
+test('a worker that has the token of a leader and left it is relayed at once', async () => {
+  // Found on the bench: a leader cut off from the workers alone; sending them back cost them their leases.
+  const { world, report } = follower();
+  assert.equal(await report('west', 3), '200 {"reins":3,"calls":[]}');
   assert.equal(world.relayed, 1);
 });
 
