--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -22,6 +22,25 @@
   stop: { graceS: number; since: Steady; why: string } | null;
 }
 
+export const newPlacement = (
+  index: number,
+  machine: MachineId,
+  attempt: Attempt,
+  now: Steady,
+): Placement => ({
+  index,
+  machine,
+  attempt,
+  assignedAt: now,
+  sentWith: null,
+  orderOpen: false,
+  orderLost: false,
+  seen: false,
+  running: false,
+  runningSince: null,
+  stop: null,
+});
+
 export type WaitReason =
   | { why: 'queued' }
   | { why: 'task may still run on a silent machine' }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1,7 +1,7 @@
 // What the leader knows and wants. Events go in, effects come out; no I/O, no clock, no randomness of its own.
 import { Arrivals } from './arrivals.js';
 import { Machine, add, attemptKey } from './cluster.js';
-import { Job, type Placement } from './job.js';
+import { Job, newPlacement, type Placement } from './job.js';
 import { commandsFor } from './reconcile.js';
 import { runCycle } from './scheduler.js';
 import { Suitability } from './suitability.js';
@@ -352,19 +352,8 @@
   }
 
   private adopt(m: Machine, job: Job, t: ReportedTask, now: Steady): Placement {
-    const p: Placement = {
-      index: t.index,
-      machine: m.id,
-      attempt: t.attempt,
-      assignedAt: now,
-      sentWith: null,
-      orderOpen: false,
-      orderLost: false,
-      seen: true,
-      running: false,
-      runningSince: null,
-      stop: null,
-    };
+    const p = newPlacement(t.index, m.id, t.attempt, now);
+    p.seen = true;
     job.placements.set(t.index, p);
     m.placements.set(taskId(job.id, t.index), { job, placement: p });
     if (job.cancelled) p.stop = { graceS: 0, since: now, why: 'cancelled' };
@@ -794,19 +783,7 @@
   }
 
   private commit(job: Job, index: number, m: Machine, now: Steady): void {
-    const p: Placement = {
-      index,
-      machine: m.id,
-      attempt: attemptOf(this.leadership.term, ++this.attempts),
-      assignedAt: now,
-      sentWith: null,
-      orderOpen: false,
-      orderLost: false,
-      seen: false,
-      running: false,
-      runningSince: null,
-      stop: null,
-    };
+    const p = newPlacement(index, m.id, attemptOf(this.leadership.term, ++this.attempts), now);
     job.placements.set(index, p);
     m.placements.set(taskId(job.id, index), { job, placement: p });
     m.idleSince = null;
--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -44,8 +44,6 @@
   orders: RentOrder[];
   /** Machines that waiting or expected work would use: not idle, whatever they do now. */
   needed: Set<MachineId>;
-  /** Wants that nothing rentable can take at present. */
-  stuck: number;
 }
 
 export const capacityKey = (type: TypeName, zone: Zone, spot: boolean): string => `${type}|${zone}|${spot}`;
@@ -69,7 +67,6 @@
   private readonly rooms: Room[] = [];
   private readonly orders = new Map<string, RentOrder>();
   readonly needed = new Set<MachineId>();
-  stuck = 0;
   private fresh = 0;
 
   constructor(private readonly input: ScalingInput) {
@@ -90,7 +87,7 @@
 
   run(): ScalingResult {
     for (const want of this.input.wants) this.satisfy(want);
-    return { orders: [...this.orders.values()], needed: this.needed, stuck: this.stuck };
+    return { orders: [...this.orders.values()], needed: this.needed };
   }
 
   private satisfy(want: Want): void {
@@ -99,10 +96,7 @@
       // Expected work is many jobs: spread and one-zone hold within each of them, not over all.
       if (want.expected && (want.tasks - left) % want.spec.tasks === 0) zones.clear();
       const room = this.findRoom(want.spec, zones) ?? this.newRoom(want, zones, left);
-      if (!room) {
-        this.stuck += left;
-        return;
-      }
+      if (!room) return; // nothing rentable can take it at present
       add(room.free, want.spec, -1);
       if (room.machine !== null) this.needed.add(room.machine);
       zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
--- a/src/runtime/http-parser.ts
+++ b/src/runtime/http-parser.ts
@@ -53,11 +53,6 @@
     private readonly limits: ParserLimits,
   ) {}
 
-  /** True between messages: an end of the connection here loses nothing. */
-  get idle(): boolean {
-    return this.stage.at === 'head' && this.buffer.length === 0;
-  }
-
   /** Returns the messages that this piece completes. Throws HttpError on malformed or oversized input. */
   push(chunk: Buffer): HttpMessage[] {
     this.buffer = this.buffer.length === 0 ? chunk : Buffer.concat([this.buffer, chunk]);
