--- /dev/null
+++ b/src/test/user-api.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { HttpMessage } from '../runtime/http-parser.js';
+import type { StateClient } from '../runtime/state-client.js';
+import { UserApi } from '../runtime/user-api.js';
+import type { Platform } from '../config/platform.js';
+import type { Counter } from '../core/units.js';
+import { decode, encode } from '../wire/cbor.js';
+import type { Transaction } from '../wire/state.js';
+import { teams, types } from './sim/day.js';
+
+/** Stand-in for the state service: transactions with conditions, and answers that get lost. */
+class Store {
+  readonly items = new Map<string, { data: unknown; stamp: number }>();
+  revision = 0;
+  mode: 'up' | 'down' | 'answer lost' | 'late' = 'up';
+
+  get(key: string) {
+    if (this.mode === 'down') return Promise.resolve({ kind: 'refused' as const });
+    const item = this.items.get(key);
+    return Promise.resolve(
+      item ? { kind: 'ok' as const, value: { key, ...item } } : { kind: 'gone' as const },
+    );
+  }
+
+  transact(t: Transaction) {
+    if (this.mode === 'down') return Promise.resolve({ kind: 'refused' as const });
+    if (this.mode === 'late') return Promise.resolve({ kind: 'unknown' as const });
+    const stampOf = (key: string): Counter => this.items.get(key)?.stamp ?? 0;
+    const failed = t.if.filter((c) => stampOf(c.key) !== c.stamp).map((c) => c.key);
+    if (failed.length > 0) return Promise.resolve({ kind: 'conflict' as const, failed });
+    const stamp = ++this.revision;
+    for (const c of t.then) {
+      if ('put' in c) this.items.set(c.put, { data: decode(encode(c.data)), stamp });
+      else this.items.delete(c.delete);
+    }
+    if (this.mode === 'answer lost') return Promise.resolve({ kind: 'unknown' as const });
+    return Promise.resolve({ kind: 'ok' as const, stamp });
+  }
+
+  finish(id: string, state: string): void {
+    this.items.delete(`j/${id}`);
+    this.items.set(`f/${id}`, { data: { state, tasks: 2 }, stamp: ++this.revision });
+  }
+}
+
+const job = {
+  nameId: 'wk-1',
+  herd: 'train',
+  outfit: 'blue',
+  gait: 'array',
+  rank: 'high',
+  hands: 2,
+  vcpus: 8,
+  accelerators: 1,
+  memGb: 8,
+  kit: 'img',
+  sizeGb: 1,
+  oneZone: false,
+  spread: false,
+  loaners: false,
+  rideS: 10,
+  waypointS: 0,
+  stowS: 0,
+};
+
+const setup = (known = types) => {
+  const store = new Store();
+  const platform = { teams, stateLimits: { valueKb: 8 } } as unknown as Platform;
+  const make = (): UserApi =>
+    new UserApi(
+      platform,
+      store as unknown as StateClient,
+      () => known,
+      () => Promise.resolve(null),
+    );
+  const call = async (api: UserApi, method: string, target: string, body?: unknown): Promise<string> => {
+    const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
+    const r = await api.handle({ method, target, body: bytes } as HttpMessage);
+    const answer = r.body ? (decode(r.body) as { status?: string }) : {};
+    return `${r.status}${answer.status ? ` ${answer.status}` : ''}${r.retryAfterS ? ` after ${r.retryAfterS}` : ''}`;
+  };
+  return { store, make, call };
+};
+
+test('accepted once, known at every controller, never invented', async () => {
+  const { store, make, call } = setup();
+  const [a, b] = [make(), make()];
+  assert.equal(await call(a, 'GET', '/v1/jobs/wk-1'), '404');
+  assert.equal(await call(a, 'POST', '/v1/jobs', job), '201 pending');
+  assert.equal(await call(b, 'POST', '/v1/jobs', job), '200 pending');
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-1'), '200 pending');
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-2'), '404');
+  assert.equal(await call(b, 'POST', '/v1/jobs/wk-2/abort'), '404');
+  store.finish('wk-1', 'done');
+  assert.equal(await call(a, 'POST', '/v1/jobs', job), '200 done');
+  assert.equal(await call(b, 'POST', '/v1/jobs/wk-1/abort'), '200 done');
+  store.mode = 'down';
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-1'), '200 done', 'a final state is safe from memory');
+});
+
+test('what cannot be taken is answered at once, with a time to come back', async () => {
+  const { store, make, call } = setup();
+  store.mode = 'down';
+  assert.equal(await call(make(), 'POST', '/v1/jobs', job), '503 after 1');
+  assert.equal(await call(make(), 'GET', '/v1/jobs/wk-1'), '503 after 1');
+  const blind = setup([]);
+  assert.equal(await blind.call(blind.make(), 'POST', '/v1/jobs', job), '503 after 1', 'types not known yet');
+});
+
+test('a lost answer is read back before the user is told', async () => {
+  const { store, make, call } = setup();
+  store.mode = 'late';
+  assert.equal(await call(make(), 'POST', '/v1/jobs', job), '503 after 1', 'it may still be carried out');
+  store.mode = 'answer lost';
+  assert.equal(await call(make(), 'POST', '/v1/jobs', job), '200 pending');
+  assert.equal(await call(make(), 'POST', '/v1/jobs/wk-1/abort'), '200 withdrawn');
+});
+
+test('cancelled stays cancelled, at every controller', async () => {
+  const { make, call } = setup();
+  const [a, b] = [make(), make()];
+  await call(a, 'POST', '/v1/jobs', job);
+  assert.equal(await call(a, 'POST', '/v1/jobs/wk-1/abort'), '200 withdrawn');
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-1'), '200 withdrawn');
+  assert.equal(await call(b, 'POST', '/v1/jobs', job), '200 withdrawn');
+});
+
+test('400, 422, 404 and 405; an accepted job is never refused when it comes again', async () => {
+  const { make, call } = setup();
+  const api = make();
+  const submit = (over: object): Promise<string> => call(api, 'POST', '/v1/jobs', { ...job, ...over });
+  assert.equal(await call(api, 'POST', '/v1/jobs', [1]), '400');
+  assert.equal(await submit({ hands: 0 }), '400');
+  assert.equal(await submit({ outfit: 'nobody' }), '422');
+  assert.equal(await submit({ vcpus: 1000 }), '422');
+  assert.equal(await submit({ accelerators: 21 }), '422', "over the team's limit");
+  assert.equal(await submit({ gait: 'group', hands: 21 }), '422', 'all tasks of a gang count');
+  assert.equal(await call(api, 'GET', '/v1/jobs'), '405');
+  assert.equal(await call(api, 'GET', '/v2'), '404');
+  assert.equal(await submit({}), '201 pending');
+  assert.equal(await submit({ outfit: 'nobody' }), '200 pending');
+  assert.equal(await submit({ hands: 0 }), '200 pending');
+});
