--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -12,4 +12,5 @@
 
 scheduling {
   cycle_ms = 200
+  aging_s  = 90
 }
--- a/src/config/operator.ts
+++ b/src/config/operator.ts
@@ -16,7 +16,7 @@
     capacity_retry_s: between(1, 600, 15),
     headroom: between(0, 10, 0.6),
   }),
-  scheduling: block({ cycle_ms: between(20, 10_000, 200) }),
+  scheduling: block({ cycle_ms: between(20, 10_000, 200), aging_s: between(10, 600, 90) }),
 });
 
 export interface Operator {
@@ -25,6 +25,7 @@
   capacityRetryS: number;
   headroom: number;
   cycleMs: number;
+  agingS: number;
 }
 
 export const checkOperator = (raw: unknown): Operator => {
@@ -35,6 +36,7 @@
     capacityRetryS: c.scaling[0].capacity_retry_s ?? 15,
     headroom: c.scaling[0].headroom ?? 0.6,
     cycleMs: c.scheduling[0].cycle_ms ?? 200,
+    agingS: c.scheduling[0].aging_s ?? 90,
   };
 };
 
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -16,6 +16,19 @@
 export const fits = (need: Amounts, free: Amounts): boolean =>
   enough(need.cpus, free.cpus) && enough(need.gpus, free.gpus) && enough(need.memoryGb, free.memoryGb);
 
+export const UNHEEDED_IS_DEAF = 2;
+
+export const sameTasks = (a: ReportedTask[], b: ReportedTask[]): boolean => {
+  if (a.length !== b.length) return false;
+  for (let i = 0; i < a.length; i++) {
+    const x = a[i]!;
+    const y = b[i]!;
+    if (x.state !== y.state || x.attempt !== y.attempt || x.index !== y.index || x.job !== y.job)
+      return false;
+  }
+  return true;
+};
+
 /** A machine as observed: rented, listed, or known by its worker's reports. */
 export class Machine {
   endpointKnown = false;
@@ -28,13 +41,19 @@
   settled = false;
   /** In the durable roster; no task is started here before. */
   roster: 'none' | 'writing' | 'durable' = 'none';
+  /** The page of the roster that names this machine. */
+  page: string | null = null;
   /** The last report's tasks, by attempt: two attempts of a task can be listed at once. */
   tasks = new Map<AttemptKey, ReportedTask>();
+  reported: ReportedTask[] = [];
+  /** Nothing to tell its worker, and nothing awaited from it: an unchanged report needs no work. */
+  quiet = false;
   /** An order to this worker is on its way. */
   orderOpen = false;
   /** Attempts that must not be forgotten while a lost start could still arrive (it would run them again). */
   readonly unreapable = new Set<AttemptKey>();
-  readonly placements = new Map<TaskId, { job: Job; placement: Placement }>();
+  private readonly placed = new Map<TaskId, { job: Job; placement: Placement }>();
+  private usedMemo: Amounts | null = null;
   private readonly images = new Map<string, number>();
   noticeAt: Steady | null = null;
   noticeEndsAt: Steady | null = null;
@@ -44,6 +63,11 @@
   readonly errorJobs = new Map<JobId, Steady>();
   sick = false;
   listedAt: Steady | null = null;
+  /** When a report of this session was last answered by us with authority, and since when the session is known. */
+  answeredAt: Steady | null = null;
+  heardSince: Steady | null = null;
+  /** Answers with a start in a row that the worker's next report showed no sign of. */
+  unheeded = 0;
 
   constructor(
     public info: MachineInfo,
@@ -53,12 +77,33 @@
     this.rentedAt = now;
   }
 
+  get placements(): ReadonlyMap<TaskId, { job: Job; placement: Placement }> {
+    return this.placed;
+  }
+
+  assign(job: Job, placement: Placement): void {
+    this.placed.set(taskId(job.id, placement.index), { job, placement });
+    this.changed();
+  }
+
+  unassign(job: JobId, index: number): void {
+    if (this.placed.delete(taskId(job, index))) this.changed();
+  }
+
+  /** What is known of its tasks has changed: sums are made anew, and its next report is looked at in full. */
+  changed(): void {
+    this.usedMemo = null;
+    this.quiet = false;
+  }
+
   get id(): MachineId {
     return this.info.id;
   }
 
   get schedulable(): boolean {
-    return this.up && this.settled && this.leaving === null && !this.sick && this.noticeAt === null;
+    // A worker that heeds no command may be deaf: its reports arrive, but answers don't reach it.
+    const deaf = this.unheeded >= UNHEEDED_IS_DEAF;
+    return this.up && this.settled && this.leaving === null && !this.sick && this.noticeAt === null && !deaf;
   }
 
   imageList(): [string, number][] {
@@ -84,6 +129,7 @@
 
   /** Everything that takes room here or may do so: reported tasks, and placements not reported yet. */
   used(specOf: (job: JobId) => Amounts | null): Amounts {
+    if (this.usedMemo !== null) return this.usedMemo;
     const sum = { cpus: 0, gpus: 0, memoryGb: 0 };
     for (const t of this.tasks.values()) {
       if (t.state === 'exited') continue;
@@ -97,6 +143,7 @@
       if (this.tasks.get(attemptKey(job.id, placement.index, placement.attempt))?.state !== 'exited')
         add(sum, job.spec);
     }
+    this.usedMemo = sum;
     return sum;
   }
 
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -64,7 +64,10 @@
   readonly stored = new Set<number>();
   private readonly requeued = new Set<number>();
   private cursor = 0;
+  private placedNotDone = 0;
   backoffUntil = -Infinity;
+  /** Room that appears after this rejection ends its back-off early. */
+  rejectedAtWake = -1;
   rejections = 0;
   /** Error back-off isn't cut short by free capacity: the job itself may be at fault. */
   errorUntil = -Infinity;
@@ -73,6 +76,9 @@
   reason: WaitReason = { why: 'queued' };
   loggedReason = '';
   finalizing = false;
+  /** Has waited long without any of its tasks running: goes before the others, and room is held for it. */
+  aged = false;
+  everRan = false;
   waitingSince: Steady;
 
   constructor(
@@ -102,9 +108,7 @@
   }
 
   get pendingCount(): number {
-    let placedNotDone = 0;
-    for (const index of this.placements.keys()) if (!this.isDone(index)) placedNotDone++;
-    return this.spec.tasks - this.doneCount - placedNotDone;
+    return this.spec.tasks - this.doneCount - this.placedNotDone;
   }
 
   get runningCount(): number {
@@ -125,6 +129,7 @@
     if (index >= this.spec.tasks || this.isDone(index)) return;
     this.done[index >> 3]! |= 1 << (index & 7);
     this.doneCount++;
+    if (this.placements.has(index)) this.placedNotDone--;
     this.dirty.add(Math.floor(index / CHUNK_TASKS));
   }
 
@@ -146,9 +151,15 @@
     return out;
   }
 
+  place(p: Placement): void {
+    if (!this.placements.has(p.index) && !this.isDone(p.index)) this.placedNotDone++;
+    this.placements.set(p.index, p);
+  }
+
   release(index: number): void {
-    if (!this.placements.delete(index)) return;
-    if (!this.isDone(index) && index < this.cursor) this.requeued.add(index);
+    if (!this.placements.delete(index) || this.isDone(index)) return;
+    this.placedNotDone--;
+    if (index < this.cursor) this.requeued.add(index);
   }
 
   chunkBytes(chunk: number, from: Uint8Array = this.done): Uint8Array {
@@ -167,5 +178,7 @@
     let count = 0;
     for (const byte of this.done) for (let b = byte; b !== 0; b &= b - 1) count++;
     this.doneCount = count;
+    this.placedNotDone = 0;
+    for (const index of this.placements.keys()) if (!this.isDone(index)) this.placedNotDone++;
   }
 }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1,8 +1,9 @@
 // What the leader knows and wants. Events go in, effects come out; no I/O, no clock, no randomness of its own.
 import { Arrivals } from './arrivals.js';
-import { Machine, add, attemptKey } from './cluster.js';
+import { Machine, UNHEEDED_IS_DEAF, add, attemptKey, sameTasks } from './cluster.js';
 import { Job, newPlacement, type Placement } from './job.js';
 import { commandsFor } from './reconcile.js';
+import { Roster } from './roster.js';
 import { runCycle } from './scheduler.js';
 import { Suitability } from './suitability.js';
 import { capacityKey, planScaling, type RentOrder, type Want } from './scaling.js';
@@ -21,14 +22,13 @@
   type WorkerTimes,
   type FinalState,
 } from './types.js';
-import { attemptOf, sameCounter, taskId } from './units.js';
+import { attemptOf, sameCounter } from './units.js';
 import type { Counter, Endpoint, JobId, MachineId, Stamp, Steady, Team, WallTime, Zone } from './units.js';
 
 export type Effect =
   | { kind: 'finish'; job: JobId; stamp: Stamp; state: FinalState; tasks: number; chunks: number[] }
   | { kind: 'progress'; job: JobId; chunk: number; bytes: Uint8Array }
-  | { kind: 'enroll'; machines: MachineInfo[] }
-  | { kind: 'unenroll'; machines: MachineId[] }
+  | { kind: 'roster'; page: string; machines: MachineInfo[] }
   | { kind: 'rent'; request: string; order: RentOrder }
   | { kind: 'return'; machines: MachineId[] }
   | { kind: 'orders'; machine: MachineId; endpoint: Endpoint; session: Counter; commands: Command[] }
@@ -42,9 +42,12 @@
   objectives: { kind: string; class?: string; within_s?: number }[];
   idleHoldS: number;
   capacityRetryS: number;
+  /** After so long without a start, a group goes before the others and room is held for it. */
+  agingS: number;
   /** Room kept for work still to come, in standard deviations of its arrivals. */
   headroom: number;
-  txnOps: number;
+  /** Machines on one page of the durable roster. */
+  rosterPage: number;
   /** Uniform in [0, 1). */
   random: () => number;
 }
@@ -53,6 +56,7 @@
   { kind: 'ok' } | { kind: 'retry' } | { kind: 'changed'; record: JobRecord; stamp: Stamp };
 
 const MAX_TASKS_A_CYCLE = 40;
+const MAX_WORK_A_CYCLE = 200_000;
 const MAX_NEW_MACHINES = 60;
 const BACKOFF_MS = 400;
 const BACKOFF_MAX_MS = 5000;
@@ -62,6 +66,14 @@
 const HOPELESS_MS = 86_400_000;
 const GONE_KEPT_MS = 1_800_000;
 const FLEET_LOG_MS = 10_000;
+const ROSTER_MS = 300;
+const ROSTER_TIDY_MS = 3000;
+/** Attempts kept on a worker only because a copy of their start may still arrive; beyond, starts go in answers. */
+const MAX_UNREAPABLE = 16;
+const DEAF_LEASES = 1.5;
+const DEAF_SHARE = 0.1;
+/** A worker gives up on an answer after this time (PROTOCOL, workers). */
+const ANSWER_LIMIT_MS = 4000;
 
 export class Leader {
   readonly machines = new Map<MachineId, Machine>();
@@ -79,10 +91,17 @@
   /** Machines whose return was answered: lists lag and go on showing them for a while. */
   private readonly gone = new Map<MachineId, Steady>();
   private readonly pokes = new Set<Machine>();
+  private readonly roster = new Roster();
   private effects: Effect[] = [];
   private attempts = 0;
   private requests = 0;
   private dirty = true;
+  private deafSince: Steady[] = [];
+  private news = true;
+  private wakes = 0;
+  private pages = 0;
+  private lastRoster = -Infinity;
+  private lastTidy = -Infinity;
   private rebuilt = false;
   private lastReturn = -Infinity;
   private lastProgress = -Infinity;
@@ -108,9 +127,12 @@
 
   // ---- what a takeover loads -------------------------------------------------------------------------------
 
-  loadMachine(info: MachineInfo, now: Steady): void {
+  loadMachine(info: MachineInfo, page: string, now: Steady): void {
     const m = this.addMachine(info, now);
+    m.endpointKnown = false;
     m.roster = 'durable';
+    m.page = page;
+    this.roster.load(page, m.info);
     m.up = true; // it had tasks or was about to
     this.blockers.add(info.id);
   }
@@ -155,6 +177,7 @@
     }
     const job = new Job(id, record, stamp, inherited, now);
     this.jobs.set(id, job);
+    this.news = true;
     this.arrivals.note(record, now, wall);
     this.suits.note(record.spec);
     this.dirty = true;
@@ -169,9 +192,12 @@
 
   onReport(report: Report, now: Steady): Command[] {
     const m = this.observe(report, now);
+    if (!m) return [];
+    this.noteAnswered(m, now);
     // Not under our token yet: an earlier leader's order could still arrive, and this answer raises the token.
-    if (!m || !m.settled) return [];
+    if (!m.settled || m.quiet) return [];
     const commands = commandsFor(m, this.jobs, now);
+    m.quiet = commands.length === 0 && this.isQuiet(m);
     for (const c of commands) {
       if (c.op !== 'start') continue;
       const p = this.jobs.get(c.job)?.placements.get(c.index);
@@ -201,9 +227,11 @@
       const p = this.jobs.get(c.job)?.placements.get(c.index);
       const own = p && p.attempt === c.attempt && p.machine === id ? p : undefined;
       if (own) own.orderOpen = false;
-      if (result.kind !== 'unknown') m.unreapable.delete(attemptKey(c.job, c.index, c.attempt));
-      // No answer: the start may arrive late. It stays unreapable, and the placement stays until it is seen.
-      else if (own) own.orderLost = true;
+      // Refused or never sent: it can't be carried out later either, since token and session only rise. In every
+      // other case a copy may arrive late, even of a start that was answered: the attempt must stay known there.
+      if (result.kind === 'refused' || result.kind === 'unsent')
+        m.unreapable.delete(attemptKey(c.job, c.index, c.attempt));
+      else if (result.kind === 'unknown' && own) own.orderLost = true;
     }
     if ((result.kind === 'executed' || result.kind === 'refused') && result.report)
       this.observe(result.report, now);
@@ -217,6 +245,19 @@
     const newSession = report.session > m.session;
     if (!newSession && (report.session < m.session || report.seq <= m.seq) && m.lastReportAt !== null)
       return null;
+    if (
+      !newSession &&
+      m.quiet &&
+      m.settled &&
+      report.noticeS === null &&
+      sameTasks(m.reported, report.tasks)
+    ) {
+      // Most reports of a large cluster: nothing has changed.
+      m.lastReportAt = now;
+      m.seq = report.seq;
+      return m;
+    }
+    this.news = true;
     if (!m.up || m.lastReportAt === null) this.cameUp(m, now);
     m.info = {
       id: report.id,
@@ -228,11 +269,14 @@
     m.endpointKnown = true;
     m.up = true;
     const first = m.lastReportAt === null;
+    const previousAt = m.lastReportAt;
     m.lastReportAt = now;
     if (newSession && !first) this.sessionEnded(m, now);
     m.session = report.session;
     m.seq = report.seq;
     if (report.noticeS !== null) this.notice(m, report.noticeS, now);
+    m.reported = report.tasks;
+    m.changed();
     m.tasks = new Map(report.tasks.map((t) => [attemptKey(t.job, t.index, t.attempt), t]));
     if (!m.settled) {
       m.settled = sameCounter(report.token, this.leadership.term);
@@ -240,6 +284,7 @@
       this.blockers.delete(m.id);
       this.dirty = true;
     }
+    this.noteHeeded(m, report, previousAt, now);
     this.digest(m, report, now);
     const idle = !m.busy;
     if (!idle) m.idleSince = null;
@@ -254,9 +299,71 @@
     this.log('debug', { machine: m.id, bootS: (now - m.rentedAt) / 1000 }, 'machine up');
   }
 
+  /** What an answer with authority was given to; a worker that none of them reaches is deaf. */
+  private noteAnswered(m: Machine, now: Steady): void {
+    m.heardSince ??= now;
+    m.answeredAt = now;
+    // Reports go on arriving, yet the token that every answer carries has not been taken over.
+    if (!m.settled && now - m.heardSince > this.settings.workers.leaseS * DEAF_LEASES * 1000) {
+      this.deaf(m, 'token not taken over', now);
+    }
+  }
+
+  /** Reports alone are no proof of contact. Given back: its tasks start elsewhere once the answer says it is gone. */
+  private deaf(m: Machine, why: string, now: Steady): void {
+    if (m.leaving?.why === 'fence') return;
+    this.deafSince = this.deafSince.filter((at) => now - at < this.settings.workers.leaseS * 3000);
+    // Many at once: it is our answers that are late, not a machine that is deaf.
+    if (this.deafSince.length >= Math.max(2, this.machines.size * DEAF_SHARE)) return;
+    this.deafSince.push(now);
+    this.fence(m, `deaf: ${why}`, now);
+  }
+
+  /** Commands without effect, told from commands on their way: the worker executes an answer before its next report. */
+  private noteHeeded(m: Machine, report: Report, previousAt: Steady | null, now: Steady): void {
+    let missed = false;
+    for (const { job, placement: p } of m.placements.values()) {
+      if (p.sentWith === null || p.seen || p.stop) continue;
+      if (m.tasks.has(attemptKey(job.id, p.index, p.attempt))) {
+        m.unheeded = 0;
+        return;
+      }
+      if (report.session === p.sentWith.session && report.seq > p.sentWith.seq) missed = true;
+    }
+    if (missed) {
+      m.unheeded++;
+      if (m.unheeded === UNHEEDED_IS_DEAF) this.log('info', { machine: m.id }, 'worker heeds no command');
+    } else if (m.unheeded > 0 && previousAt !== null && now - previousAt < ANSWER_LIMIT_MS) {
+      // Sooner than it gives up on an answer: it did receive the one before.
+      m.unheeded = 0;
+    }
+    if (m.unheeded < UNHEEDED_IS_DEAF) return;
+    // Not started there, and by this report certain not to be: they go elsewhere.
+    for (const { job, placement: p } of [...m.placements.values()]) {
+      const unsure =
+        p.seen || p.orderOpen || p.orderLost || m.tasks.has(attemptKey(job.id, p.index, p.attempt));
+      if (!unsure) this.release(job, p, now);
+    }
+  }
+
+  /** Everything that it should hold is there, and everything there should be. */
+  private isQuiet(m: Machine): boolean {
+    for (const [key, t] of m.tasks) {
+      if (t.state === 'exited' ? !m.unreapable.has(key) : t.state === 'saving') return false;
+    }
+    for (const { placement: p } of m.placements.values()) if (!p.seen || p.stop !== null) return false;
+    return true;
+  }
+
   /** The worker's lease ran out: every task that it held is gone, and answers to older reports are dropped. */
   private sessionEnded(m: Machine, now: Steady): void {
     m.unreapable.clear();
+    m.unheeded = 0;
+    // Its lease ran out although its reports were answered until lately: none of the answers reached it.
+    const { answeredAt } = m;
+    if (answeredAt !== null && now - answeredAt < this.settings.workers.leaseS * 700)
+      this.deaf(m, 'lease ran out', now);
+    m.answeredAt = null;
     this.log('info', { machine: m.id, tasks: m.placements.size }, 'worker session ended, tasks lost');
     for (const { job, placement } of [...m.placements.values()]) {
       if (placement.seen || placement.sentWith || placement.orderOpen || placement.orderLost) {
@@ -298,6 +405,7 @@
     own.seen = true;
     const running = t.state === 'running' || t.state === 'waiting';
     if (running && !own.running) {
+      job.everRan = true;
       own.runningSince = now;
       this.log(
         'debug',
@@ -354,8 +462,8 @@
   private adopt(m: Machine, job: Job, t: ReportedTask, now: Steady): Placement {
     const p = newPlacement(t.index, m.id, t.attempt, now);
     p.seen = true;
-    job.placements.set(t.index, p);
-    m.placements.set(taskId(job.id, t.index), { job, placement: p });
+    job.place(p);
+    m.assign(job, p);
     if (job.cancelled) p.stop = { graceS: 0, since: now, why: 'cancelled' };
     return p;
   }
@@ -364,7 +472,7 @@
 
   private release(job: Job, p: Placement, now: Steady): void {
     const m = this.machines.get(p.machine);
-    m?.placements.delete(taskId(job.id, p.index));
+    m?.unassign(job.id, p.index);
     job.release(p.index);
     job.waitingSince = now;
     this.dirty = true;
@@ -385,10 +493,13 @@
   private stopPlacement(job: Job, p: Placement, graceS: number, why: string, now: Steady): void {
     if (p.stop) {
       if (graceS === 0) p.stop.graceS = 0;
+      this.machines.get(p.machine)?.changed();
       return;
     }
     p.stop = { graceS, since: now, why };
+    this.news = true;
     const m = this.machines.get(p.machine);
+    m?.changed();
     if (!p.sentWith && !p.orderOpen && !p.orderLost && !p.seen) {
       this.release(job, p, now); // never told to anyone
       return;
@@ -482,7 +593,6 @@
   }
 
   onReturned(ids: MachineId[], ok: boolean, now: Steady): void {
-    const gone: MachineId[] = [];
     for (const id of ids) {
       const m = this.machines.get(id);
       if (!m?.leaving) continue;
@@ -495,18 +605,18 @@
       this.gone.set(id, now);
       this.blockers.delete(id);
       this.pokes.delete(m);
-      if (m.roster !== 'none') gone.push(id);
+      if (m.page !== null) this.roster.remove(m.page, id);
       this.dirty = true;
     }
-    if (gone.length > 0) this.effects.push({ kind: 'unenroll', machines: gone });
   }
 
-  onEnrolled(ids: MachineId[], ok: boolean): void {
-    for (const id of ids) {
+  onRoster(page: string, ok: boolean): void {
+    for (const id of this.roster.written(page, ok)) {
       const m = this.machines.get(id);
-      if (!m) continue;
-      m.roster = ok ? 'durable' : 'none';
-      if (ok && m.placements.size > 0) this.pokes.add(m);
+      if (!m || m.roster === 'durable') continue;
+      m.roster = 'durable';
+      m.quiet = false;
+      if (m.placements.size > 0) this.pokes.add(m);
     }
   }
 
@@ -588,11 +698,21 @@
 
   /** Anything that could let a rejected group fit ends its back-off early. */
   private wake(): void {
-    for (const job of this.jobs.values()) if (job.backoffUntil > -Infinity) job.backoffUntil = -Infinity;
+    this.wakes++;
+  }
+
+  private inBackoff(job: Job, now: Steady): boolean {
+    return now < job.backoffUntil && job.rejectedAtWake === this.wakes;
+  }
+
+  /** Whether anything has come in since the last tick that a tick could act on. */
+  get hasNews(): boolean {
+    return this.news || this.dirty || this.pokes.size > 0 || this.effects.length > 0;
   }
 
   tick(now: Steady, wall: WallTime): void {
-    this.enroll();
+    this.news = false;
+    this.enroll(now);
     this.watchSilence(now, wall);
     this.watchBoots(now);
     this.finishJobs(now);
@@ -602,15 +722,35 @@
     this.logFleet(now);
   }
 
-  private enroll(): void {
+  /** Machines that come up together share a page, since writes are few: one write for up to a page of them. */
+  private enroll(now: Steady): void {
+    if (now - this.lastRoster < ROSTER_MS) return;
+    const again = this.roster.next('failed');
+    if (again) {
+      this.lastRoster = now;
+      this.effects.push({ kind: 'roster', ...again });
+      return;
+    }
+    const page = `${this.leadership.term}-${this.pages + 1}`;
     const fresh: MachineInfo[] = [];
     for (const m of this.machines.values()) {
       if (m.roster !== 'none' || !m.up || !m.endpointKnown || m.leaving) continue;
       m.roster = 'writing';
+      m.page = page;
       fresh.push(m.info);
-      if (fresh.length >= this.settings.txnOps) break;
+      if (fresh.length >= this.settings.rosterPage) break;
+    }
+    if (fresh.length > 0) {
+      this.lastRoster = now;
+      this.pages++;
+      this.roster.open(page, fresh);
+      this.effects.push({ kind: 'roster', page, machines: fresh });
     }
-    if (fresh.length > 0) this.effects.push({ kind: 'enroll', machines: fresh });
+    if (now - this.lastTidy < ROSTER_TIDY_MS) return;
+    this.lastTidy = now;
+    // A name left on a page costs the next leader some waiting, nothing else: pages are tidied without haste.
+    const stale = this.roster.next('stale');
+    if (stale) this.effects.push({ kind: 'roster', ...stale });
   }
 
   /** A new leader first hears one round of reports; silent machines hold up only what may be on them. */
@@ -672,7 +812,7 @@
     // Whatever is still reported of it is stopped and forgotten as a task of no known job.
     for (const p of [...job.placements.values()]) {
       const m = this.machines.get(p.machine);
-      m?.placements.delete(taskId(job.id, p.index));
+      m?.unassign(job.id, p.index);
       if (m) this.pokes.add(m);
     }
     this.jobs.delete(id);
@@ -705,16 +845,21 @@
         job.reason = { why: 'task may still run on a silent machine' };
       } else if (now < job.errorUntil) {
         job.reason = { why: 'back-off', until: job.errorUntil as Steady };
-      } else if (now < job.backoffUntil) {
+      } else if (this.inBackoff(job, now)) {
         blocked.push(job);
       } else {
         queue.push(job);
       }
     }
+    for (const job of queue) {
+      const waitedMs = wall - job.record.submittedAt;
+      job.aged = !job.everRan && waitedMs > this.settings.agingS * 1000;
+    }
     const dues = new Map(queue.map((j) => [j, this.due(j, wall)]));
     const due = (j: Job): number => dues.get(j)!;
     queue.sort(
       (a, b) =>
+        Number(b.aged) - Number(a.aged) ||
         priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
         due(a) - due(b) ||
         (a.id < b.id ? -1 : 1),
@@ -753,6 +898,7 @@
       now,
       silentMs: this.settings.workers.reportS * 2500,
       maxTasks: MAX_TASKS_A_CYCLE,
+      maxWork: MAX_WORK_A_CYCLE,
       suits: (spec, type) => this.suits.penalty(spec, type),
     });
     for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
@@ -767,25 +913,27 @@
     for (const v of result.victims) this.evict(v.job, v.placement, 'preempted', now);
     for (const { job } of result.unplaced) {
       job.rejections++;
+      job.rejectedAtWake = this.wakes;
       const delay = Math.min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** Math.min(job.rejections, 10));
       // Individual times: groups rejected together must not come back in one wave.
       job.backoffUntil = now + delay * (0.5 + this.settings.random());
     }
+    if (result.unfinished.length > 0) this.dirty = true;
     this.explain(queue);
-    this.scale([...result.unplaced.map((u) => u.job), ...blocked], now);
+    this.scale([...result.unplaced.map((u) => u.job), ...result.unfinished, ...blocked], now);
   }
 
   private hasDue(now: Steady): boolean {
     for (const job of this.jobs.values()) {
-      if (job.pendingCount > 0 && now >= job.backoffUntil && now >= job.errorUntil) return true;
+      if (job.pendingCount > 0 && !this.inBackoff(job, now) && now >= job.errorUntil) return true;
     }
     return now - this.lastScale > 1000;
   }
 
   private commit(job: Job, index: number, m: Machine, now: Steady): void {
     const p = newPlacement(index, m.id, attemptOf(this.leadership.term, ++this.attempts), now);
-    job.placements.set(index, p);
-    m.placements.set(taskId(job.id, index), { job, placement: p });
+    job.place(p);
+    m.assign(job, p);
     m.idleSince = null;
     job.rejections = 0;
     this.pokes.add(m);
@@ -873,7 +1021,11 @@
       if (m.orderOpen) continue;
       this.pokes.delete(m);
       if (!m.settled || !m.endpointKnown || this.machines.get(m.id) !== m) continue;
-      const commands = commandsFor(m, this.jobs, now).filter((c) => c.op !== 'forget');
+      // The bound keeps reports short on a machine that runs many tasks under one leader.
+      const direct = m.unreapable.size < MAX_UNREAPABLE;
+      const commands = commandsFor(m, this.jobs, now).filter(
+        (c) => c.op === 'stop' || (c.op === 'start' && direct),
+      );
       if (commands.length === 0) {
         if (m.roster !== 'durable' && m.placements.size > 0) this.pokes.add(m);
         continue;
--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -86,21 +86,48 @@
   }
 
   run(): ScalingResult {
+    this.rooms.sort((a, b) => this.order(a, b));
     for (const want of this.input.wants) this.satisfy(want);
     return { orders: [...this.orders.values()], needed: this.needed };
   }
 
   private satisfy(want: Want): void {
-    const zones = new Map(want.zones);
-    for (let left = want.tasks; left > 0; left--) {
-      // Expected work is many jobs: spread and one-zone hold within each of them, not over all.
-      if (want.expected && (want.tasks - left) % want.spec.tasks === 0) zones.clear();
-      const room = this.findRoom(want.spec, zones) ?? this.newRoom(want, zones, left);
-      if (!room) return; // nothing rentable can take it at present
-      add(room.free, want.spec, -1);
-      if (room.machine !== null) this.needed.add(room.machine);
+    let left = want.tasks;
+    // Expected work is many jobs: spread and one-zone hold within each of them, not over all.
+    const each = want.expected ? Math.max(1, want.spec.tasks) : left;
+    while (left > 0) {
+      const group = Math.min(each, left);
+      if (!this.place(want, new Map(want.zones), group)) return; // nothing rentable can take it at present
+      left -= group;
+    }
+  }
+
+  /** One pass over the rooms in their order, then machines to be rented. */
+  private place(want: Want, zones: Map<Zone, number>, tasks: number): boolean {
+    const { spec } = want;
+    let left = tasks;
+    for (const r of this.rooms) {
+      if (left === 0) return true;
+      if (!fits(spec, r.free) || !mayRunOn(spec, r.type, r.zone, r.spot)) continue;
+      left -= this.fill(spec, r, zones, left);
+    }
+    while (left > 0) {
+      const room = this.newRoom(want, zones, left);
+      if (!room) return false;
+      left -= this.fill(spec, room, zones, left);
+    }
+    return true;
+  }
+
+  private fill(spec: JobSpec, room: Room, zones: Map<Zone, number>, most: number): number {
+    let n = 0;
+    while (n < most && fits(spec, room.free) && this.zoneAllowed(spec, room.zone, zones)) {
+      add(room.free, spec, -1);
       zones.set(room.zone, (zones.get(room.zone) ?? 0) + 1);
+      n++;
     }
+    if (n > 0 && room.machine !== null) this.needed.add(room.machine);
+    return n;
   }
 
   private zoneAllowed(spec: JobSpec, zone: Zone, zones: Map<Zone, number>): boolean {
@@ -109,20 +136,9 @@
   }
 
   /** Machines in use first, then cheap ones, then full ones: the dear and empty ones are free to go back. */
-  private findRoom(spec: JobSpec, zones: Map<Zone, number>): Room | null {
-    let best: Room | null = null;
-    for (const r of this.rooms) {
-      if (!fits(spec, r.free) || !mayRunOn(spec, r.type, r.zone, r.spot)) continue;
-      if (!this.zoneAllowed(spec, r.zone, zones)) continue;
-      if (best === null || this.before(r, best)) best = r;
-    }
-    return best;
-  }
-
-  private before(a: Room, b: Room): boolean {
-    if (a.busy !== b.busy) return a.busy;
-    if (a.price !== b.price) return a.price < b.price;
-    return a.free.gpus < b.free.gpus;
+  private order(a: Room, b: Room): number {
+    if (a.busy !== b.busy) return a.busy ? -1 : 1;
+    return a.price - b.price || a.free.gpus - b.free.gpus;
   }
 
   private newRoom(want: Want, zones: Map<Zone, number>, left: number): Room | null {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -35,6 +35,8 @@
   victims: Victim[];
   /** Jobs with tasks left over, in queue order: what scaling looks at. */
   unplaced: { job: Job; tasks: number }[];
+  /** Groups that this cycle did not get to. */
+  unfinished: Job[];
 }
 
 export interface CycleInput {
@@ -47,10 +49,14 @@
   silentMs: number;
   /** Tasks considered for each array or service in one cycle: bounds the time a cycle takes. */
   maxTasks: number;
+  /** Machines looked at in one cycle, over all groups. */
+  maxWork: number;
   /** How badly a machine type suits a task, against how badly it suits the others; about -2 to 2. */
   suits: (spec: JobSpec, type: TypeName) => number;
 }
 
+const MAX_HOLDS = 8;
+const EMPTY: Map<Zone, number> = new Map();
 const OPEN_EMPTY_S = 8;
 const SUITS_S = 10;
 const WORTH_WAITING_S = 15;
@@ -98,14 +104,63 @@
   return leftS > -0.5 * bootS ? Math.max(1, bootS * 0.1) : Infinity;
 };
 
+/**
+ * Scores of the machines that a group's members may go to, kept while its like members are placed one after the
+ * other: a placement changes one machine, so only that one is scored again (the paper's opportunistic batching).
+ */
+class Ranking {
+  private readonly scores: Float64Array;
+
+  constructor(
+    private readonly slots: Slot[],
+    private readonly score: (slot: Slot) => number,
+  ) {
+    this.scores = new Float64Array(slots.length).fill(NaN);
+  }
+
+  best(allowed: (slot: Slot) => boolean): Slot | null {
+    let best = -1;
+    let bestScore = Infinity;
+    for (let i = 0; i < this.slots.length; i++) {
+      let score = this.scores[i]!;
+      if (score >= bestScore) continue;
+      const slot = this.slots[i]!;
+      if (!allowed(slot)) continue;
+      if (Number.isNaN(score)) this.scores[i] = score = this.score(slot);
+      if (score >= bestScore) continue;
+      best = i;
+      bestScore = score;
+    }
+    return best < 0 ? null : this.slots[best]!;
+  }
+
+  get size(): number {
+    return this.slots.length;
+  }
+
+  /** Room was taken on this machine: it is scored again. */
+  changed(slot: Slot): void {
+    this.scores[this.slots.indexOf(slot)] = NaN;
+  }
+}
+
 class Cycle {
   private readonly slots: Slot[] = [];
   private readonly booting: Slot[] = [];
   private readonly byId = new Map<MachineId, Slot>();
   private readonly usage = new Map<Team, Amounts>();
-  private readonly hopeless = new Set<string>();
+  /** Signatures that fit nowhere, or for which no victims can be found: room only shrinks within a cycle. */
+  private readonly noRoom = new Set<string>();
+  private readonly noVictims = new Set<string>();
+  /** Machines with any room left, by what of them a signature may use. */
+  private readonly ranked = new Map<Job, Ranking>();
+  private readonly signatures = new Map<Job, string>();
+  private readonly suitsMemo = new Map<JobSpec, Map<TypeName, number>>();
+  private holds = 0;
+  /** Machines looked at: the measure by which a cycle is bounded. */
+  work = 0;
   private readonly stopping = new Set<Placement>();
-  readonly result: CycleResult = { placed: [], victims: [], unplaced: [] };
+  readonly result: CycleResult = { placed: [], victims: [], unplaced: [], unfinished: [] };
 
   constructor(private readonly input: CycleInput) {
     for (const m of input.machines.values()) this.addSlot(m);
@@ -113,7 +168,11 @@
   }
 
   run(): CycleResult {
-    for (const job of this.input.queue) this.placeJob(job);
+    for (const job of this.input.queue) {
+      // A cycle is bounded; the rest of the queue goes on in the next one, on a snapshot of its own.
+      if (this.work < this.input.maxWork) this.placeJob(job);
+      else this.result.unfinished.push(job);
+    }
     return this.result;
   }
 
@@ -151,15 +210,13 @@
 
   /** Arrays and services: every task is a group of its own with a minimum count of one. */
   private placeEach(job: Job, pending: number[]): void {
-    const sig = signature(job.spec);
     const zones = zonesOf(job, this.input.machines);
     for (let i = 0; i < pending.length; i++) {
       if (!this.teamAllows(job, 1)) {
         job.reason = { why: 'team limit' };
         return; // not handed to scaling: more machines would not help
       }
-      const hopeless = this.hopeless.has(sig);
-      const slot = hopeless ? null : this.best(job, zones);
+      const slot = this.best(job, zones);
       if (slot) {
         if (this.betterWait(job, slot, zones)) return;
         if (this.betterBoot(job, slot, zones)) continue;
@@ -167,16 +224,13 @@
         this.assume(job, pending[i]!, slot, zones);
         continue;
       }
-      const victims = hopeless ? null : this.nominate(job, zones);
+      const victims = this.nominate(job, zones);
       if (victims) {
         this.result.victims.push(...victims.list);
         this.reserve(job, victims.slot, victims.list, zones);
         job.reason = { why: 'waiting for victims', victims: victims.list.length };
         continue;
       }
-      if (zones.size === 0 && !job.spec.spread && !job.spec.oneZone && job.errorMachines.size === 0) {
-        this.hopeless.add(sig);
-      }
       job.reason = { why: 'no machine with room' };
       this.result.unplaced.push({ job, tasks: job.pendingCount - i });
       return;
@@ -208,10 +262,35 @@
       return;
     }
     for (const zone of zones) if (this.preemptForGang(job, pending.length, zone)) return;
+    if (job.aged) this.hold(job, pending.length, zones);
     job.reason = { why: 'no machine with room' };
     this.result.unplaced.push({ job, tasks: pending.length });
   }
 
+  /**
+   * Room for a group that has waited long: the machines that will have it soonest are kept free of others, since
+   * small groups would otherwise take each piece as it appears and the whole would never come together. Nobody is
+   * stopped for it.
+   */
+  private hold(job: Job, tasks: number, zones: (Zone | null)[]): void {
+    if (this.holds >= MAX_HOLDS) return;
+    let best: { slots: Slot[]; atS: number } | null = null;
+    for (const zone of zones) {
+      const ends = this.slots
+        .filter((s) => this.allowed(job, s, EMPTY, zone))
+        .map((slot) => ({ slot, atS: this.freeIn(job.spec, slot) }))
+        .filter((e) => e.atS < Infinity)
+        .sort((a, b) => a.atS - b.atS)
+        .slice(0, tasks);
+      if (ends.length < tasks) continue;
+      const atS = ends.at(-1)!.atS;
+      if (best === null || atS < best.atS) best = { slots: ends.map((e) => e.slot), atS };
+    }
+    if (!best) return;
+    this.holds++;
+    for (const slot of best.slots) slot.free = { cpus: 0, gpus: 0, memoryGb: 0 };
+  }
+
   private planGang(job: Job, tasks: number, zone: Zone | null): { slots: Slot[]; cost: number } | null {
     const chosen: Slot[] = [];
     let cost = 0;
@@ -220,9 +299,15 @@
       if (!slot) break;
       cost = Math.max(cost, this.score(job.spec, slot));
       add(slot.free, job.spec, -1);
+      this.ranked.get(job)?.changed(slot);
       chosen.push(slot);
     }
-    for (const slot of chosen) add(slot.free, job.spec); // only a plan so far
+    // What was found hopeless with a part of the gang assumed isn't so for others.
+    if (chosen.length > 0 && chosen.length < tasks) this.forgetHopeless(job, zone);
+    for (const slot of chosen) {
+      add(slot.free, job.spec); // only a plan so far
+      this.ranked.get(job)?.changed(slot);
+    }
     return chosen.length === tasks ? { slots: chosen, cost } : null;
   }
 
@@ -250,7 +335,11 @@
       return true;
     }
     // Not complete: nobody is stopped. The nominations are taken back.
-    for (const slot of reserved) add(slot.free, job.spec);
+    for (const slot of reserved) {
+      add(slot.free, job.spec);
+      this.ranked.get(job)?.changed(slot);
+    }
+    if (reserved.length > 0) this.forgetHopeless(job, zone);
     if (usedBefore) this.usage.set(job.spec.team, usedBefore);
     else this.usage.delete(job.spec.team);
     for (const v of victims) {
@@ -260,6 +349,28 @@
     return false;
   }
 
+  private forgetHopeless(job: Job, zone: Zone | null): void {
+    const sig = this.signature(job);
+    for (const key of [sig, `${sig}|${zone}`]) {
+      this.noRoom.delete(key);
+      this.noVictims.delete(key);
+    }
+  }
+
+  private signature(job: Job): string {
+    let sig = this.signatures.get(job);
+    if (sig === undefined) this.signatures.set(job, (sig = signature(job.spec)));
+    return sig;
+  }
+
+  private suits(spec: JobSpec, type: TypeName): number {
+    let byType = this.suitsMemo.get(spec);
+    if (!byType) this.suitsMemo.set(spec, (byType = new Map()));
+    let penalty = byType.get(type);
+    if (penalty === undefined) byType.set(type, (penalty = this.input.suits(spec, type)));
+    return penalty;
+  }
+
   private allowed(job: Job, slot: Slot, zones: Map<Zone, number>, only: Zone | null): boolean {
     const { info } = slot.machine;
     const spec = job.spec;
@@ -271,15 +382,21 @@
   }
 
   private best(job: Job, zones: Map<Zone, number>, only: Zone | null = null): Slot | null {
-    let best: Slot | null = null;
-    let bestScore = Infinity;
-    for (const slot of this.slots) {
-      if (!fits(job.spec, slot.free) || !this.allowed(job, slot, zones, only)) continue;
-      const score = this.score(job.spec, slot);
-      if (score < bestScore) {
-        best = slot;
-        bestScore = score;
-      }
+    const sig = this.signature(job);
+    if (this.noRoom.has(sig) || (only !== null && this.noRoom.has(`${sig}|${only}`))) return null;
+    let ranking = this.ranked.get(job);
+    if (!ranking) {
+      this.work += this.slots.length;
+      const slots = this.slots.filter((s) => fits(job.spec, s.free) && this.allowed(job, s, EMPTY, null));
+      if (slots.length === 0 && job.errorMachines.size === 0) this.noRoom.add(sig);
+      ranking = new Ranking(slots, (s) => this.score(job.spec, s));
+      this.ranked.clear(); // another group was placed in between: its scores are out of date
+      this.ranked.set(job, ranking);
+    }
+    this.work += ranking.size;
+    const best = ranking.best((s) => fits(job.spec, s.free) && this.allowed(job, s, zones, only));
+    if (!best && zones.size === 0 && job.errorMachines.size === 0) {
+      this.noRoom.add(only === null ? sig : `${sig}|${only}`);
     }
     return best;
   }
@@ -361,7 +478,7 @@
       score += (SLOWS_OTHERS * slot.fetching.size * spec.imageGb) / type.fetchGbPerS;
     }
     if (slot.empty) score += OPEN_EMPTY_S;
-    score += SUITS_S * this.input.suits(spec, slot.machine.info.type);
+    score += SUITS_S * this.suits(spec, slot.machine.info.type);
     if (spec.spot && !slot.machine.info.spot) score += ORDINARY_FOR_SPOT_S;
     const left =
       type.gpus > 0 ? (slot.free.gpus - spec.gpus) / type.gpus : (slot.free.cpus - spec.cpus) / type.cpus;
@@ -377,6 +494,7 @@
 
   private take(job: Job, slot: Slot, zones: Map<Zone, number>): void {
     add(slot.free, job.spec, -1);
+    this.ranked.get(job)?.changed(slot);
     const used = this.usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
     add(used, job.spec);
     this.usage.set(job.spec.team, used);
@@ -398,12 +516,18 @@
     zones: Map<Zone, number>,
     only: Zone | null = null,
   ): { slot: Slot; list: Victim[] } | null {
+    const sig = this.signature(job);
+    if (this.noVictims.has(sig) || (only !== null && this.noVictims.has(`${sig}|${only}`))) return null;
+    this.work += this.slots.length * 3;
     let best: { slot: Slot; list: Victim[]; cost: number } | null = null;
     for (const slot of this.slots) {
       if (!this.allowed(job, slot, zones, only)) continue;
       const found = this.victimsOn(job, slot);
       if (found && (best === null || found.cost < best.cost)) best = { slot, ...found };
     }
+    if (!best && zones.size === 0 && job.errorMachines.size === 0) {
+      this.noVictims.add(only === null ? sig : `${sig}|${only}`);
+    }
     return best;
   }
 
--- a/src/runtime/budget.ts
+++ b/src/runtime/budget.ts
@@ -27,6 +27,14 @@
     return true;
   }
 
+  /** Milliseconds until n could be taken, if nobody else took any. */
+  waitMs(n: number, now: number, reserve = 0): number {
+    this.refill(now);
+    const missing = n + reserve - this.level;
+    if (missing <= 0) return 0;
+    return n + reserve > this.burst ? Infinity : (missing / this.rate) * 1000;
+  }
+
   private refill(now: number): void {
     this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.rate);
     this.at = now;
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -27,6 +27,8 @@
 const TYPES_REFRESH_MS = 30_000;
 const FORWARD_TIMEOUT_MS = 2000;
 const HINTS_MS = 3000;
+/** The leader's part of the state service's budget. */
+const leaderShare = 0.6;
 
 const isHints = (x: unknown): x is ImageHints =>
   typeof x === 'object' &&
@@ -113,6 +115,7 @@
         socket.resume();
       });
     });
+    this.state.setShare(this.followerShare());
     for (const link of this.links) link.start();
     this.membership.start();
     void this.keepTypes();
@@ -120,6 +123,11 @@
     this.log.info({ zone: this.platform.zone }, 'started');
   }
 
+  /** A follower's part of the state service's budget: more than an equal one, since users' requests come in bursts. */
+  private followerShare(): number {
+    return Math.min(0.4, 1 / this.platform.peers.length);
+  }
+
   private listen(address: Address, onConnection: (s: Socket) => void): void {
     const server = createServer(onConnection);
     server.on('error', (e) => {
@@ -288,7 +296,7 @@
 
   private lead(): void {
     this.loop?.stop();
-    this.state.setShare(0.5);
+    this.state.setShare(leaderShare);
     const { platform, operator, membership, state, cloud, log, random } = this;
     this.loop = new LeaderLoop(
       platform,
@@ -308,7 +316,7 @@
     this.log.info({ why }, 'leadership lost');
     this.loop?.stop();
     this.loop = null;
-    this.state.setShare(0.25);
+    this.state.setShare(this.followerShare());
   }
 
   /** Machine types: from the cloud, or while it doesn't answer, from what a leader has kept. */
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -8,7 +8,7 @@
 import type { Operator } from '../config/operator.js';
 import { Leader, type Effect, type ImageHints } from '../core/leader.js';
 import type { MachineType, Report } from '../core/types.js';
-import type { Counter, Endpoint, JobId, MachineId, Steady, WallTime } from '../core/units.js';
+import type { Counter, Endpoint, JobId, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import * as wire from '../wire/state.js';
 import { ordersBody, parseReport } from '../wire/workers.js';
@@ -20,11 +20,20 @@
 const ORDER_TIMEOUT_MS = 2500;
 const WATCH_MS = 10_000;
 const RENT_RETRY_MS = 1200;
+const TICK_PAUSES = 4;
+const MAX_PAUSE_MS = 500;
+const TICK_LOG_MS = 10_000;
 
 export class LeaderLoop {
   private leader: Leader | null = null;
   private ended = false;
   private queued = false;
+  private tickEnded = 0;
+  private tickMs = 0;
+  private longestTickMs = 0;
+  private ticks = 0;
+  private tickSumMs = 0;
+  private ticksLoggedAt = 0;
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly workers = new Map<Endpoint, HttpClient>();
 
@@ -57,7 +66,8 @@
         idleHoldS: this.operator.idleHoldS,
         capacityRetryS: this.operator.capacityRetryS,
         headroom: this.operator.headroom,
-        txnOps: this.platform.stateLimits.txnOps,
+        agingS: this.operator.agingS,
+        rosterPage: wire.rosterPage(this.platform.stateLimits.valueKb),
         random: this.random,
       },
       startedAt,
@@ -68,8 +78,10 @@
     const progress = await this.load(wire.keys.progressPrefix);
     if (!roster || !jobs || !progress || this.ended) return;
     for (const item of roster.items) {
-      const m = wire.parseMachine(item.data);
-      if (m) leader.loadMachine(m, startedAt);
+      const page = item.key.slice(wire.keys.rosterPrefix.length);
+      const machines = wire.parseRosterPage(item.data);
+      if (!machines) this.log.error({ key: item.key }, 'damaged page of the roster');
+      for (const m of machines ?? []) leader.loadMachine(m, page, startedAt);
     }
     leader.loadImageHints(this.hints);
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
@@ -93,8 +105,10 @@
   }
 
   report(report: Report): ReturnType<Leader['onReport']> {
-    const commands = this.leader?.onReport(report, steady()) ?? [];
-    this.soon();
+    const leader = this.leader;
+    if (!leader) return [];
+    const commands = leader.onReport(report, steady());
+    if (leader.hasNews) this.soon();
     return commands;
   }
 
@@ -155,20 +169,43 @@
   private soon(): void {
     if (this.queued) return;
     this.queued = true;
-    setTimeout(() => {
-      this.queued = false;
-      this.tick();
-    }, EVENT_DELAY_MS);
+    // A tick's cost rises with the cluster: its pace falls with it, so that answers to workers, users and the
+    // lease's renewal are never crowded out.
+    const earliest = this.tickEnded + this.tickMs * TICK_PAUSES;
+    setTimeout(
+      () => {
+        this.queued = false;
+        this.tick();
+      },
+      Math.max(EVENT_DELAY_MS, Math.min(MAX_PAUSE_MS, earliest - steady())),
+    );
   }
 
   private tick(): void {
     const leader = this.leader;
     // Without authority nothing is decided: another controller may lead already.
     if (!leader || this.ended || !this.membership.authority) return;
-    leader.tick(steady(), wall());
+    const began = steady();
+    leader.tick(began, wall());
+    this.tickEnded = steady();
+    this.tickMs = this.tickEnded - began;
+    this.longestTickMs = Math.max(this.longestTickMs, this.tickMs);
+    this.ticks++;
+    this.tickSumMs += this.tickMs;
+    this.logTicks();
     for (const e of leader.takeEffects()) this.carryOut(leader, e);
   }
 
+  private logTicks(): void {
+    if (this.tickEnded - this.ticksLoggedAt < TICK_LOG_MS) return;
+    this.ticksLoggedAt = this.tickEnded;
+    const meanMs = Math.round((this.tickSumMs / this.ticks) * 10) / 10;
+    this.log.info({ ticks: this.ticks, meanMs, longestMs: Math.round(this.longestTickMs) }, 'cycles');
+    this.ticks = 0;
+    this.tickSumMs = 0;
+    this.longestTickMs = 0;
+  }
+
   private carryOut(leader: Leader, e: Effect): void {
     switch (e.kind) {
       case 'log':
@@ -180,11 +217,8 @@
       case 'progress':
         void this.progress(leader, e);
         return;
-      case 'enroll':
-        void this.enroll(leader, e);
-        return;
-      case 'unenroll':
-        void this.unenroll(e.machines);
+      case 'roster':
+        void this.writeRoster(leader, e);
         return;
       case 'rent':
         void this.rent(leader, e);
@@ -256,30 +290,18 @@
     leader.onProgress(e.job, e.chunk, e.bytes, r.kind === 'ok');
   }
 
-  private async enroll(leader: Leader, e: Extract<Effect, { kind: 'enroll' }>): Promise<void> {
-    const r = await this.write(e.machines.map((m) => ({ put: wire.keys.machine(m.id), data: m })));
-    leader.onEnrolled(
-      e.machines.map((m) => m.id),
-      r.kind === 'ok',
-    );
+  private async writeRoster(leader: Leader, e: Extract<Effect, { kind: 'roster' }>): Promise<void> {
+    const key = wire.keys.rosterPage(e.page);
+    const change =
+      e.machines.length === 0 ? { delete: key } : { put: key, data: wire.rosterRecord(e.machines) };
+    const r = await this.write([change]);
+    if (this.ended) return;
+    leader.onRoster(e.page, r.kind === 'ok');
     if (r.kind !== 'ok')
-      this.log.limited('enroll', 'info', { outcome: r.kind }, 'roster not written, tried again');
+      this.log.limited('roster', 'info', { outcome: r.kind }, 'roster not written, tried again');
     this.soon();
   }
 
-  private async unenroll(ids: MachineId[]): Promise<void> {
-    for (let rest = ids; rest.length > 0 && !this.ended;) {
-      const some = rest.slice(0, this.platform.stateLimits.txnOps);
-      const r = await this.write(
-        some.map((id) => ({ delete: wire.keys.machine(id) })),
-        [],
-        reserves.normal,
-      );
-      if (r.kind === 'ok') rest = rest.slice(some.length);
-      else await sleep(500);
-    }
-  }
-
   private async rent(leader: Leader, e: Extract<Effect, { kind: 'rent' }>): Promise<void> {
     const r = await this.cloud.rent({ request: e.request, ...e.order });
     if (this.ended) return;
--- a/src/runtime/state-client.ts
+++ b/src/runtime/state-client.ts
@@ -18,6 +18,9 @@
   | { kind: 'unknown' };
 
 const TIMEOUT_MS = 1200;
+/** A request may wait this long for its turn in the budget, and so many may; beyond, the answer is no, at once. */
+const MAX_WAIT_MS = 250;
+const MAX_WAITING = 24;
 /** What remains in the buckets for callers that must not be starved. */
 export const reserves = { urgent: 0, normal: 2, low: 6 };
 
@@ -26,24 +29,65 @@
   private readonly watches: HttpClient;
   private readonly requests: Budget;
   private readonly writes: Budget;
+  private share = 1 / 3;
+  private caution = 1;
+  private waiting = 0;
   /** Steady time of the last answer that was not an error; tells an outage from a quiet time. */
   lastAnswerAt = -Infinity;
 
   constructor(private readonly platform: Platform) {
-    this.calls = new HttpClient(platform.state, 8, 20_000);
+    this.calls = new HttpClient(platform.state, 24, 20_000);
     this.watches = new HttpClient(platform.state, 4, 20_000);
     const now = performance.now();
     this.requests = new Budget(1, 1, now);
     this.writes = new Budget(1, 1, now);
-    this.setShare(1 / 3);
+    this.applyShare();
   }
 
   /** The limits hold for all controllers together, so each one keeps to a share of them. */
   setShare(share: number): void {
+    this.share = share;
+    this.applyShare();
+  }
+
+  private applyShare(): void {
     const { rps, writeRps } = this.platform.stateLimits;
     const now = performance.now();
-    this.requests.setRate(rps * share * 0.9, Math.max(4, rps * share * 0.9), now);
-    this.writes.setRate(writeRps * share * 0.9, Math.max(4, writeRps * share * 0.9), now);
+    const part = this.share * this.caution * 0.9;
+    this.requests.setRate(rps * part, Math.max(4, rps * part), now);
+    this.writes.setRate(writeRps * part, Math.max(4, writeRps * part), now);
+  }
+
+  /**
+   * The shares add up to more than the whole, since seldom all controllers are busy at once. When they are, the
+   * service refuses with 429, and each takes less for a while.
+   */
+  private noteStatus(status: number): void {
+    const before = this.caution;
+    if (status === 429) this.caution = Math.max(0.3, this.caution * 0.85);
+    else this.caution = Math.min(1, this.caution + 0.004);
+    if (this.caution !== before) this.applyShare();
+  }
+
+  /** A turn in both budgets, at once or after a short wait in a small queue. */
+  private async turn(requests: number, writes: number, reserve: number): Promise<boolean> {
+    const began = performance.now();
+    for (;;) {
+      const now = performance.now();
+      const waitMs = Math.max(
+        this.writes.waitMs(writes, now, writes > 0 ? reserve : 0),
+        this.requests.waitMs(requests, now, reserve),
+      );
+      if (waitMs === 0) {
+        this.requests.take(requests, now, reserve);
+        if (writes > 0) this.writes.take(writes, now, reserve);
+        return true;
+      }
+      if (now - began + waitMs > MAX_WAIT_MS || this.waiting >= MAX_WAITING) return false;
+      this.waiting++;
+      await new Promise((r) => setTimeout(r, waitMs + 1));
+      this.waiting--;
+    }
   }
 
   async get(key: string, reserve = reserves.normal): Promise<Outcome<wire.Item>> {
@@ -70,11 +114,10 @@
   }
 
   async transact(t: wire.Transaction, reserve = reserves.normal): Promise<TxnOutcome> {
-    const now = performance.now();
-    if (!this.writes.take(t.then.length, now, reserve)) return { kind: 'refused' };
-    if (!this.requests.take(1, now, reserve)) return { kind: 'refused' };
+    if (!(await this.turn(1, t.then.length, reserve))) return { kind: 'refused' };
     const r = await this.calls.request('POST', '/multi', encode(wire.transactionBody(t)), TIMEOUT_MS);
     if (!r.ok) return r.sent ? { kind: 'unknown' } : { kind: 'refused' };
+    this.noteStatus(r.status);
     const body = tryDecode(r.body);
     if (r.status === 200) {
       const c = wire.parseCommitted(body);
@@ -114,8 +157,10 @@
     parse: (raw: unknown) => T | null,
     reserve: number,
   ): Promise<Outcome<T>> {
-    if (!this.requests.take(1, performance.now(), reserve)) return { kind: 'refused' };
-    return this.outcome(await this.calls.request('GET', target, null, TIMEOUT_MS), parse);
+    if (!(await this.turn(1, 0, reserve))) return { kind: 'refused' };
+    const r = await this.calls.request('GET', target, null, TIMEOUT_MS);
+    if (r.ok) this.noteStatus(r.status);
+    return this.outcome(r, parse);
   }
 
   private outcome<T>(
--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -128,7 +128,7 @@
         if (m.lastReportAt === null || now - m.lastReportAt < 5000) continue;
         for (const { job, placement } of [...m.placements.values()]) {
           job.release(placement.index);
-          m.placements.clear();
+          m.unassign(job.id, placement.index);
         }
       }
       super.tick(now, wall);
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -17,7 +17,7 @@
   Team,
   Term,
 } from '../core/units.js';
-import { taskId, type TypeName, type WallTime, type Zone } from '../core/units.js';
+import { type TypeName, type WallTime, type Zone } from '../core/units.js';
 import { jobSpec, teams, types } from './sim/day.js';
 
 const now = 100_000 as Steady;
@@ -48,8 +48,8 @@
   const p = newPlacement(index, m.id, (index + 1) as Attempt, now);
   p.seen = p.running = true;
   p.runningSince = now;
-  j.placements.set(index, p);
-  m.placements.set(taskId(j.id, index), { job: j, placement: p });
+  j.place(p);
+  m.assign(j, p);
   return p;
 };
 
@@ -71,6 +71,7 @@
     now,
     silentMs: 5000,
     maxTasks: 40,
+    maxWork: 200_000,
     suits: () => 0,
   });
 };
--- a/src/test/sim/clock.ts
+++ b/src/test/sim/clock.ts
@@ -1,7 +1,15 @@
 // Virtual time: events in order of time, then of their making. Nothing sleeps.
+import TinyQueue from 'tinyqueue';
+
+interface Event {
+  at: number;
+  order: number;
+  run: () => void;
+}
+
 export class VirtualClock {
   now = 0;
-  private queue: { at: number; order: number; run: () => void }[] = [];
+  private readonly queue = new TinyQueue<Event>([], (a, b) => a.at - b.at || a.order - b.order);
   private order = 0;
 
   after(ms: number, run: () => void): void {
@@ -18,17 +26,11 @@
 
   runUntil(end: number): void {
     for (;;) {
-      let next = -1;
-      for (let i = 0; i < this.queue.length; i++) {
-        const a = this.queue[i]!;
-        const b = this.queue[next];
-        if (!b || a.at < b.at || (a.at === b.at && a.order < b.order)) next = i;
-      }
-      const event = this.queue[next];
-      if (!event || event.at > end) break;
-      this.queue.splice(next, 1);
-      this.now = event.at;
-      event.run();
+      const next = this.queue.peek();
+      if (!next || next.at > end) break;
+      this.queue.pop();
+      this.now = next.at;
+      next.run();
     }
     this.now = end;
   }
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -107,7 +107,7 @@
   private leaderStamp = 0;
   private machineCount = 0;
   private readonly records = new Map<JobId, { record: JobRecord; stamp: number }>();
-  private readonly roster = new Map<MachineId, MachineInfo>();
+  private readonly roster = new Map<string, MachineInfo[]>();
   private readonly progress = new Map<string, { job: JobId; chunk: number; bytes: Uint8Array }>();
   private readonly rentals = new Map<string, MachineId[]>();
   private held: (() => void)[] = [];
@@ -195,13 +195,16 @@
         idleHoldS: 30,
         capacityRetryS: 10,
         headroom: 1,
-        txnOps: 16,
+        agingS: 90,
+        rosterPage: 16,
         random: () => this.random(),
       },
       this.steady(),
     );
     leader.setTypes(types);
-    for (const m of this.roster.values()) leader.loadMachine(m, this.steady());
+    for (const [page, machines] of this.roster) {
+      for (const m of machines) leader.loadMachine(m, page, this.steady());
+    }
     for (const [id, { record, stamp }] of this.records) {
       leader.learnJob(id, record, stamp, true, this.steady(), this.wall());
     }
@@ -236,17 +239,10 @@
       case 'log':
         if (e.level === 'info' && e.text !== 'fleet') this.note(`  ${e.text} ${JSON.stringify(e.fields)}`);
         return;
-      case 'enroll':
-        for (const m of e.machines) this.roster.set(m.id, m);
-        this.later(leader, NETWORK_MS, () =>
-          leader.onEnrolled(
-            e.machines.map((m) => m.id),
-            ok,
-          ),
-        );
-        return;
-      case 'unenroll':
-        for (const id of e.machines) this.roster.delete(id);
+      case 'roster':
+        if (e.machines.length === 0) this.roster.delete(e.page);
+        else this.roster.set(e.page, e.machines);
+        this.later(leader, NETWORK_MS, () => leader.onRoster(e.page, ok));
         return;
       case 'progress':
         this.progress.set(`${e.job}/${e.chunk}`, { job: e.job, chunk: e.chunk, bytes: e.bytes });
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -2,7 +2,7 @@
 import * as v from 'valibot';
 import { counter, integer, parseWith, text } from './common.js';
 import type { FinalRecord, JobRecord, JobSpec, MachineInfo, MachineType } from '../core/types.js';
-import type { Counter, JobId, MachineId, NodeName, Stamp, Term, WallTime } from '../core/units.js';
+import type { Counter, JobId, NodeName, Stamp, Term, WallTime } from '../core/units.js';
 
 export interface Condition {
   key: string;
@@ -71,7 +71,7 @@
   active: (id: JobId) => `j/${id}`,
   final: (id: JobId) => `f/${id}`,
   progress: (id: JobId, chunk: number) => `p/${id}/${chunk}`,
-  machine: (id: MachineId) => `m/${id}`,
+  rosterPage: (page: string) => `m/${page}`,
 };
 
 // Our own records are written by us alone, but a damaged one must not crash a controller: shapes are checked.
@@ -101,7 +101,10 @@
 const finalRecord = v.object({ state: v.picklist(['done', 'withdrawn']), tasks: v.number() });
 const leaderRecord = v.object({ node: text, term: v.number() });
 const termRecord = v.object({ term: v.number() });
-const machineRecord = v.object({ id: text, endpoint: text, type: text, zone: text, spot: v.boolean() });
+const rosterPageRecord = v.object({
+  machines: v.array(v.object({ id: text, type: text, zone: text, spot: v.boolean() })),
+});
+const ROSTER_ENTRY_BYTES = 200;
 const progressRecord = v.object({ bits: v.string() });
 
 export const parseJobRecord = (raw: unknown): JobRecord | null => {
@@ -118,7 +121,17 @@
 export const parseLeader = (raw: unknown) =>
   orNull(leaderRecord, raw) as { node: NodeName; term: Term } | null;
 export const parseTerm = (raw: unknown) => (orNull(termRecord, raw)?.term ?? null) as Term | null;
-export const parseMachine = (raw: unknown) => orNull(machineRecord, raw) as MachineInfo | null;
+export const parseRosterPage = (raw: unknown): MachineInfo[] | null => {
+  const r = orNull(rosterPageRecord, raw);
+  // The endpoint is not kept: the machine's first report tells it.
+  return r === null ? null : (r.machines.map((m) => ({ ...m, endpoint: '' })) as unknown as MachineInfo[]);
+};
+export const rosterRecord = (machines: MachineInfo[]) => ({
+  machines: machines.map(({ id, type, zone, spot }) => ({ id, type, zone, spot })),
+});
+/** How many machines a page may name within the service's limit on a value. */
+export const rosterPage = (valueKb: number): number =>
+  Math.max(1, Math.min(100, Math.floor((valueKb * 1024) / ROSTER_ENTRY_BYTES)));
 export const parseProgress = (raw: unknown) => orNull(progressRecord, raw)?.bits ?? null;
 export const parseStoredTypes = (raw: unknown): MachineType[] | null =>
   (orNull(v.array(v.record(v.string(), v.unknown())), raw) as unknown as MachineType[] | null) ?? null;
