Reports are relayed to the leader; fencing with restraint; a leader nobody reaches resigns

Changed: whoever a worker reports to relays; a worker is sent to a controller of its zone once a minute at most, and only to one that workers do reach; where peers are refused, workers go to the leader that the state service names; many silent machines at once are fenced late or when missing from the cloud's list; a leader that hears no worker resigns; without state service and peers a worker is sent away once, and the controller leaves the load balancer; deaf is only what was answered for most of a lease without a silence. Ruled out: processor (cycles below 2 ms), state budget (no refusals).

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -62,10 +62,12 @@
   idleSince: Steady | null = null;
   readonly errorJobs = new Map<JobId, Steady>();
   sick = false;
-  listedAt: Steady | null = null;
-  /** When a report of this session was last answered by us with authority, and since when the session is known. */
+  firstListedAt: Steady | null = null;
+  /** Was listed by the cloud long enough, and is missing now: most likely gone. */
+  unlisted = false;
+  /** When a report was last answered by us with authority, and since when without a silence. */
   answeredAt: Steady | null = null;
-  heardSince: Steady | null = null;
+  answeredSince: Steady | null = null;
   /** Answers with a start in a row that the worker's next report showed no sign of. */
   unheeded = 0;
 
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -44,6 +44,7 @@
   capacityRetryS: number;
   /** After so long without a start, a group goes before the others and room is held for it. */
   agingS: number;
+  listLagS: number;
   /** Room kept for work still to come, in standard deviations of its arrivals. */
   headroom: number;
   /** Machines on one page of the durable roster. */
@@ -72,6 +73,8 @@
 const MAX_UNREAPABLE = 16;
 const DEAF_LEASES = 1.5;
 const DEAF_SHARE = 0.1;
+const MIN_FLEET_HEARD = 3;
+const SILENT_SHARE = 0.1;
 /** A worker gives up on an answer after this time (PROTOCOL, workers). */
 const ANSWER_LIMIT_MS = 4000;
 
@@ -301,14 +304,20 @@
 
   /** What an answer with authority was given to; a worker that none of them reaches is deaf. */
   private noteAnswered(m: Machine, now: Steady): void {
-    m.heardSince ??= now;
+    // After a silence the count begins anew: what arrives then may have been held back by the network for long.
+    const gapMs = ANSWER_LIMIT_MS + this.settings.workers.reportS * 1500 + 1500;
+    if (m.answeredAt === null || now - m.answeredAt > gapMs) m.answeredSince = now;
     m.answeredAt = now;
     // Reports go on arriving, yet the token that every answer carries has not been taken over.
-    if (!m.settled && now - m.heardSince > this.settings.workers.leaseS * DEAF_LEASES * 1000) {
+    if (!m.settled && this.answeredForMs(m) > this.settings.workers.leaseS * DEAF_LEASES * 1000) {
       this.deaf(m, 'token not taken over', now);
     }
   }
 
+  private answeredForMs(m: Machine): number {
+    return m.answeredAt === null || m.answeredSince === null ? 0 : m.answeredAt - m.answeredSince;
+  }
+
   /** Reports alone are no proof of contact. Given back: its tasks start elsewhere once the answer says it is gone. */
   private deaf(m: Machine, why: string, now: Steady): void {
     if (m.leaving?.why === 'fence') return;
@@ -359,11 +368,10 @@
   private sessionEnded(m: Machine, now: Steady): void {
     m.unreapable.clear();
     m.unheeded = 0;
-    // Its lease ran out although its reports were answered until lately: none of the answers reached it.
-    const { answeredAt } = m;
-    if (answeredAt !== null && now - answeredAt < this.settings.workers.leaseS * 700)
-      this.deaf(m, 'lease ran out', now);
+    // Its lease ran out although its reports were answered all the while: none of the answers reached it.
+    if (this.answeredForMs(m) > this.settings.workers.leaseS * 900) this.deaf(m, 'lease ran out', now);
     m.answeredAt = null;
+    m.answeredSince = null;
     this.log('info', { machine: m.id, tasks: m.placements.size }, 'worker session ended, tasks lost');
     for (const { job, placement } of [...m.placements.values()]) {
       if (placement.seen || placement.sentWith || placement.orderOpen || placement.orderLost) {
@@ -578,6 +586,12 @@
   }
 
   onList(listed: ListedMachine[], now: Steady): void {
+    const names = new Set(listed.map((l) => l.id));
+    for (const m of this.machines.values()) {
+      // Once listed, a machine stays listed until it is gone; a list may be older than the one before it.
+      m.unlisted =
+        m.firstListedAt !== null && now - m.firstListedAt > this.settings.listLagS * 2500 && !names.has(m.id);
+    }
     for (const [id, at] of this.gone) if (now - at > GONE_KEPT_MS) this.gone.delete(id);
     for (const l of listed) {
       let m = this.machines.get(l.id);
@@ -587,7 +601,7 @@
         m = this.addMachine(l, now);
         m.rentedAt = (now - l.ageS * 1000) as Steady;
       }
-      m.listedAt = now;
+      m.firstListedAt ??= now;
       if (l.status === 'failed') this.fence(m, 'failed', now);
     }
   }
@@ -651,6 +665,11 @@
       if (now - since >= missed) quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
       if (now - since >= patience) silent.push(m);
     }
+    let up = 0;
+    for (const n of total.values()) up += n;
+    // Many at once, as after a takeover: it is the network or we that keep them silent. Fencing them all would
+    // destroy a healthy fleet; those that are really gone are soon missing from the cloud's list.
+    const many = silent.length > Math.max(3, up * SILENT_SHARE);
     for (const m of silent) {
       if (m.leaving?.why === 'fence') continue;
       const zone = m.info.zone;
@@ -658,7 +677,8 @@
       const cut = quiet.get(zone)! >= 2 && quiet.get(zone)! >= 0.5 * total.get(zone)!;
       const since = m.lastReportAt ?? this.startedAt;
       const overdue = this.holdsOverdueCancel(m, wall);
-      if (!cut || overdue || now - since >= longPatience) this.fence(m, cut ? 'zone silent' : 'silent', now);
+      if ((!cut && !many) || overdue || now - since >= longPatience || m.unlisted)
+        this.fence(m, cut ? 'zone silent' : 'silent', now);
     }
   }
 
@@ -705,6 +725,13 @@
     return now < job.backoffUntil && job.rejectedAtWake === this.wakes;
   }
 
+  /** Enough machines are known to be up that silence from all of them means something. */
+  get expectsReports(): boolean {
+    let up = 0;
+    for (const m of this.machines.values()) if (m.up && ++up >= MIN_FLEET_HEARD) return true;
+    return false;
+  }
+
   /** Whether anything has come in since the last tick that a tick could act on. */
   get hasNews(): boolean {
     return this.news || this.dirty || this.pokes.size > 0 || this.effects.length > 0;
--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -7,22 +7,32 @@
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { Report } from '../core/types.js';
-import { sameCounter, type MachineId, type Steady } from '../core/units.js';
+import type { MachineId, Steady } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import { parseReport, redirectBody, reportAnswer } from '../wire/workers.js';
 import type { Logger } from './logger.js';
 
 const RELAY_TIMEOUT_MS = 2500;
-const BOUNCES_BEFORE_RELAY = 2;
+/** A worker is sent elsewhere at most once in this time: each move may cost it 5 s of its lease. */
+const BOUNCE_EVERY_MS = 60_000;
+/** A worker sent away since we can't do more than keep it is kept if it comes back within this time. */
+const SEND_EVERY_MS = 20_000;
+const REPORTS_LOG_MS = 10_000;
 
 const steady = (): Steady => performance.now() as Steady;
 const answer = (status: number, body: unknown): HttpReply => ({ status, body: encode(body) });
 const elsewhere = (leader: Parameters<typeof redirectBody>[0]): HttpReply =>
   answer(421, redirectBody(leader));
 
+type Outcome = 'answered' | 'relayed' | 'kept alive' | 'sent elsewhere' | 'refused';
+
 export class Checkin {
-  private readonly bounces = new Map<MachineId, { count: number; at: Steady }>();
+  private readonly bounces = new Map<MachineId, Steady>();
+  private readonly sentAway = new Map<MachineId, Steady>();
+  private readonly outcomes = new Map<Outcome, number>();
+  private loggedAt = -Infinity;
   private leaderSeenAt = -Infinity;
+  private directAt = -Infinity;
 
   constructor(
     private readonly platform: Platform,
@@ -30,76 +40,119 @@
     private readonly links: PeerLink[],
     private readonly leading: () => LeaderLoop | null,
     private readonly log: Logger,
+    private readonly stateOk: () => boolean,
     private readonly clock: () => Steady = steady,
   ) {}
 
-  /** A leader was heard of, by whatever message: keeping workers alive is bounded from here. */
-  sawLeader(): void {
-    this.leaderSeenAt = this.clock();
+  /**
+   * A leader was heard of, by us now or by a peer some time ago: keeping workers alive is bounded from here. A
+   * peer's word is what a controller has that was just restarted.
+   */
+  sawLeader(agoMs = 0): void {
+    this.leaderSeenAt = Math.max(this.leaderSeenAt, this.clock() - agoMs);
+  }
+
+  get leaderSeenAgoMs(): number | null {
+    return this.leaderSeenAt === -Infinity ? null : this.clock() - this.leaderSeenAt;
+  }
+
+  /** Whether workers reach this controller themselves; a cut may spare the peers and the state service. */
+  get hearing(): boolean {
+    return this.clock() - this.directAt < this.platform.workers.reportS * 2000 + 500;
   }
 
   async handle(body: Buffer, relayed = false): Promise<HttpReply> {
+    const now = this.clock();
+    if (!relayed) this.directAt = now;
+    const [outcome, reply] = await this.decide(body, relayed, now);
+    this.count(outcome, now);
+    return reply;
+  }
+
+  private async decide(body: Buffer, relayed: boolean, now: Steady): Promise<[Outcome, HttpReply]> {
     const parsed = parseReport(tryDecode(body));
     if (!parsed.ok) {
       this.log.limited('report', 'info', { cause: parsed.cause }, 'malformed report refused');
-      return answer(400, { error: parsed.cause });
+      return ['refused', answer(400, { error: parsed.cause })];
     }
     const report = parsed.value;
-    const now = this.clock();
-    const link = this.leaderLink(now);
     if (this.membership.holdsLease) return this.asLeader(report, relayed, now);
+    const link = this.leaderLink(now);
     if (link) {
       this.leaderSeenAt = now;
       return this.toLeader(report, body, link, now);
     }
+    const refused = this.refusingLeader(now);
+    if (refused && this.maySend(report, now)) return ['sent elsewhere', elsewhere(refused.name)];
     return this.keepAlive(report, now);
   }
 
-  private asLeader(report: Report, relayed: boolean, now: Steady): HttpReply {
+  /**
+   * Connections between controllers are refused, but the state service says who leads: the worker reports there
+   * itself. Not behind a cut, which answers nothing: there the move would cost the worker its lease.
+   */
+  private refusingLeader(now: Steady): PeerLink | null {
+    const { leader } = this.membership.election;
+    if (!leader || !this.stateOk()) return null;
+    return this.links.find((l) => l.name === leader.node && l.refuses(now)) ?? null;
+  }
+
+  private maySend(report: Report, now: Steady): boolean {
+    const last = this.sentAway.get(report.id);
+    if (this.sentAway.size > 5000) this.sentAway.clear();
+    if (last !== undefined && now - last < SEND_EVERY_MS) return false;
+    this.sentAway.set(report.id, now);
+    return true;
+  }
+
+  private asLeader(report: Report, relayed: boolean, now: Steady): [Outcome, HttpReply] {
     const loop = this.leading();
     const term = this.membership.election.held!.term;
     // An answer under a lower token would be dropped and would hold the worker here.
-    if (report.token > term) return elsewhere(null);
+    if (report.token > term) return ['sent elsewhere', elsewhere(null)];
     if (this.membership.authority) {
       this.leaderSeenAt = now;
       const closer = relayed ? null : this.closerTo(report, now);
-      if (closer && this.bounce(report.id, now)) return elsewhere(closer.name);
-      return answer(200, reportAnswer(term, loop?.report(report) ?? []));
+      if (closer) return ['sent elsewhere', elsewhere(closer.name)];
+      return ['answered', answer(200, reportAnswer(term, loop?.report(report) ?? []))];
     }
     loop?.core?.onReportWithoutAuthority(report, now);
     return this.keepAlive(report, now);
   }
 
   /**
-   * A controller in the worker's own zone passes its reports on. When the zones are cut apart, the worker is then
+   * A controller in the worker's own zone, if workers do reach it. When the zones are cut apart, the worker is then
    * already where it can be kept alive: trying the others one by one could outlast its lease.
    */
   private closerTo(report: Report, now: Steady): PeerLink | null {
     if (report.zone === this.platform.zone) return null;
-    return this.links.find((l) => l.zone === report.zone && l.alive(now)) ?? null;
-  }
-
-  /** False for a worker that was sent away twice and is back: it can't reach where it was sent. */
-  private bounce(id: MachineId, now: Steady): boolean {
-    const last = this.bounces.get(id);
-    const windowMs = this.platform.workers.leaseS * 1000;
-    const count = last && now - last.at < windowMs ? last.count : 0;
-    if (this.bounces.size > 2000) this.bounces.clear();
-    const away = count < BOUNCES_BEFORE_RELAY;
-    this.bounces.set(id, { count: away ? count + 1 : count, at: now });
-    return away;
+    const last = this.bounces.get(report.id);
+    if (last !== undefined && now - last < BOUNCE_EVERY_MS) return null;
+    const near = this.links.filter((l) => l.zone === report.zone && l.alive(now) && l.status?.hearing);
+    if (near.length === 0) return null;
+    if (this.bounces.size > 5000) this.bounces.clear();
+    this.bounces.set(report.id, now);
+    // Spread over the controllers there.
+    return near[this.bounces.size % near.length]!;
   }
 
-  private async toLeader(report: Report, body: Buffer, link: PeerLink, now: Steady): Promise<HttpReply> {
-    const own = report.zone === this.platform.zone && link.zone !== this.platform.zone;
-    // It has the leader's token, so it was there and left: it can't reach the leader, and its lease is running.
-    const left = sameCounter(report.token, highestTerm(this.membership.election));
-    if (!own && !left && this.bounce(report.id, now)) return elsewhere(link.name);
+  /**
+   * Whoever a worker reports to passes the report on: it need not find the leader anew whenever another one leads,
+   * and a leader that workers can't reach still hears them. A relayed answer is settled like a direct one.
+   */
+  private async toLeader(
+    report: Report,
+    body: Buffer,
+    link: PeerLink,
+    now: Steady,
+  ): Promise<[Outcome, HttpReply]> {
+    const closer = this.closerTo(report, now);
+    if (closer) return ['sent elsewhere', elsewhere(closer.name)];
     const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
     if (typeof status === 'number' && bytes instanceof Uint8Array)
-      return { status, body: Buffer.from(bytes) };
+      return ['relayed', { status, body: Buffer.from(bytes) }];
     return this.keepAlive(report, this.clock());
   }
 
@@ -107,13 +160,21 @@
    * No leader in reach: work goes on under the last token, with no commands. Bounded, since nobody here learns
    * of cancellations: with the lease added, a cancelled task must still be gone within cancel_s.
    */
-  private keepAlive(report: Report, now: Steady): HttpReply {
+  private keepAlive(report: Report, now: Steady): [Outcome, HttpReply] {
     const { cancelS, leaseS, reportS } = this.platform.workers;
     const windowMs = (cancelS - leaseS - 2 * reportS - 4) * 1000;
     const term = highestTerm(this.membership.election);
-    if (term === 0 || now - this.leaderSeenAt > windowMs) return answer(503, {});
-    if (report.token > term) return elsewhere(null);
-    return answer(200, reportAnswer(term, []));
+    if (now - this.leaderSeenAt > windowMs) return ['refused', answer(503, {})];
+    // Cut off from everybody but the workers: another controller may lead, and they can reach it. If none answers
+    // them they come back, and are kept.
+    if (this.isolated(now) && this.maySend(report, now)) return ['sent elsewhere', elsewhere(null)];
+    // A token above ours: another controller has a newer leader. Ours would hold the worker here in vain.
+    if (report.token > term) return ['sent elsewhere', elsewhere(null)];
+    return ['kept alive', answer(200, reportAnswer(term, []))];
+  }
+
+  private isolated(now: Steady): boolean {
+    return !this.stateOk() && this.links.length > 0 && !this.links.some((l) => l.alive(now));
   }
 
   private leaderLink(now: Steady): PeerLink | null {
@@ -128,4 +189,12 @@
     }
     return null;
   }
+
+  private count(outcome: Outcome, now: Steady): void {
+    this.outcomes.set(outcome, (this.outcomes.get(outcome) ?? 0) + 1);
+    if (now - this.loggedAt < REPORTS_LOG_MS) return;
+    this.loggedAt = now;
+    this.log.info({ outcomes: Object.fromEntries(this.outcomes) }, 'reports');
+    this.outcomes.clear();
+  }
 }
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -94,7 +94,14 @@
       () => this.types,
       (id) => this.counts(id),
     );
-    this.checkin = new Checkin(platform, this.membership, this.links, () => this.loop, this.log);
+    this.checkin = new Checkin(
+      platform,
+      this.membership,
+      this.links,
+      () => this.loop,
+      this.log,
+      () => this.stateOk(),
+    );
   }
 
   start(): void {
@@ -120,6 +127,7 @@
     this.membership.start();
     void this.keepTypes();
     setInterval(() => this.shareHints(), HINTS_MS);
+    setInterval(() => this.checkHearing(), 500);
     this.log.info({ zone: this.platform.zone }, 'started');
   }
 
@@ -199,7 +207,10 @@
     if (this.types.length === 0) return false;
     if (this.stateOk()) return true;
     const now = performance.now();
-    return this.state.lastAnswerAt > -Infinity && !this.links.some((l) => l.alive(now) && l.status?.stateOk);
+    const reached = this.links.filter((l) => l.alive(now));
+    // Cut off from the state service and from every peer: it is we who are cut off, and others can serve.
+    if (this.links.length > 0 && reached.length === 0) return false;
+    return this.state.lastAnswerAt > -Infinity && !reached.some((l) => l.status?.stateOk);
   }
 
   // ---- peers -----------------------------------------------------------------------------------------------
@@ -211,10 +222,13 @@
       leading: authority && this.loop !== null,
       term: highestTerm(this.membership.election),
       stateOk: this.stateOk(),
+      hearing: this.checkin.hearing,
+      leaderSeenAgoMs: this.checkin.leaderSeenAgoMs,
     };
   }
 
   private heard(s: PeerStatus): void {
+    if (typeof s.leaderSeenAgoMs === 'number') this.checkin.sawLeader(s.leaderSeenAgoMs);
     if (!s.leading) return;
     this.membership.learn(s.node, s.term);
     this.checkin.sawLeader();
@@ -294,6 +308,14 @@
 
   // ---- leadership ------------------------------------------------------------------------------------------
 
+  /** A leader that hears no worker, directly or through its peers, gives way to one that may. */
+  private checkHearing(): void {
+    const loop = this.loop;
+    if (!loop || this.links.length === 0 || !this.membership.authority) return;
+    if (loop.deafForMs(performance.now()) < this.platform.workers.reportS * 2500 + 2500) return;
+    this.membership.resign('no worker is heard');
+  }
+
   private lead(): void {
     this.loop?.stop();
     this.state.setShare(leaderShare);
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -28,6 +28,8 @@
   private leader: Leader | null = null;
   private ended = false;
   private queued = false;
+  private heardAt = -Infinity;
+  private ledSince = 0;
   private tickEnded = 0;
   private tickMs = 0;
   private longestTickMs = 0;
@@ -66,6 +68,7 @@
         idleHoldS: this.operator.idleHoldS,
         capacityRetryS: this.operator.capacityRetryS,
         headroom: this.operator.headroom,
+        listLagS: this.platform.cloudLimits.listLagS,
         agingS: this.operator.agingS,
         rosterPage: wire.rosterPage(this.platform.stateLimits.valueKb),
         random: this.random,
@@ -91,6 +94,7 @@
       if (bits !== null) leader.loadProgress(id as JobId, Number(chunk), Buffer.from(bits, 'base64'));
     }
     this.leader = leader;
+    this.ledSince = steady();
     this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
     this.timers.push(setInterval(() => this.tick(), this.operator.cycleMs));
     void this.watchJobs(jobs.ledger);
@@ -107,11 +111,19 @@
   report(report: Report): ReturnType<Leader['onReport']> {
     const leader = this.leader;
     if (!leader) return [];
-    const commands = leader.onReport(report, steady());
+    const now = steady();
+    this.heardAt = now;
+    const commands = leader.onReport(report, now);
     if (leader.hasNews) this.soon();
     return commands;
   }
 
+  /** How long no worker at all has been heard, though machines are known to be up. */
+  deafForMs(now: number): number {
+    if (!this.leader || !this.leader.expectsReports) return 0;
+    return now - Math.max(this.heardAt, this.ledSince);
+  }
+
   setTypes(types: MachineType[]): void {
     this.leader?.setTypes(types);
   }
--- a/src/runtime/membership.ts
+++ b/src/runtime/membership.ts
@@ -10,11 +10,13 @@
 const steady = (): Steady => performance.now() as Steady;
 const WATCH_MS = 10_000;
 const PROBE_MS = 1000;
+const STAND_ASIDE_MS = 12_000;
 
 export class Membership {
   readonly election: Election = emptyElection();
   private acquiring = false;
   private firstLook = true;
+  private standAsideUntil = -Infinity;
 
   constructor(
     private readonly platform: Platform,
@@ -46,6 +48,16 @@
     if (before?.term !== this.election.leader?.term) this.events.onLeader();
   }
 
+  /** Gives leadership up of our own will, and leaves it to the others for a while. */
+  resign(why: string): void {
+    const held = this.election.held;
+    if (!held) return;
+    this.election.held = null;
+    this.standAsideUntil = steady() + STAND_ASIDE_MS;
+    this.events.onLost(why);
+    void this.state.endLease(held.lease);
+  }
+
   /** A write of ours failed because the leader key is not ours any more. */
   deposed(): void {
     if (!this.election.held) return;
@@ -122,7 +134,7 @@
   }
 
   private async acquire(): Promise<void> {
-    if (this.acquiring || this.holdsLease) return;
+    if (this.acquiring || this.holdsLease || steady() < this.standAsideUntil) return;
     this.acquiring = true;
     try {
       const sentAt = steady();
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -11,13 +11,17 @@
 const ALIVE_MS = 2000;
 const REDIAL_MS = 500;
 const DIAL_TIMEOUT_MS = 1500;
-const MAX_OPEN = 64;
+const MAX_OPEN = 256;
 
 export interface PeerStatus {
   node: NodeName;
   leading: boolean;
   term: Term;
   stateOk: boolean;
+  /** Workers reach it themselves. */
+  hearing: boolean;
+  /** How long ago it last knew of a leader; null: never. */
+  leaderSeenAgoMs: number | null;
 }
 export type PeerRequest =
   | { kind: 'heartbeat'; from: PeerStatus }
@@ -91,6 +95,7 @@
   status: PeerStatus | null = null;
   private heardAt = -Infinity;
   private heartbeatOpen = false;
+  private refusedAt = -Infinity;
 
   constructor(
     readonly peer: Platform['peers'][number],
@@ -110,6 +115,14 @@
     return now - this.heardAt < ALIVE_MS;
   }
 
+  /**
+   * Its address answers with a refusal: the network in between works, unlike behind a cut, and a worker may well
+   * reach it. It may also be dead.
+   */
+  refuses(now: number): boolean {
+    return !this.connected && now - this.refusedAt < ALIVE_MS;
+  }
+
   start(): void {
     this.dial();
     setInterval(() => void this.heartbeat(), HEARTBEAT_MS);
@@ -160,6 +173,7 @@
     }, DIAL_TIMEOUT_MS);
     socket.on('connect', () => {
       this.connected = true;
+      this.refusedAt = -Infinity;
       void this.heartbeat();
     });
     socket.on('data', (chunk) => {
@@ -167,7 +181,10 @@
       if (frames === null) socket.destroy();
       else for (const f of frames) this.waiting.get(f.i)?.(f.a ?? null);
     });
-    socket.on('error', () => socket.destroy());
+    socket.on('error', (e) => {
+      if ('code' in e && e.code === 'ECONNREFUSED') this.refusedAt = performance.now();
+      socket.destroy();
+    });
     socket.on('close', () => {
       clearTimeout(timer);
       this.connected = false;
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -195,6 +195,7 @@
         idleHoldS: 30,
         capacityRetryS: 10,
         headroom: 1,
+        listLagS: 4,
         agingS: 90,
         rosterPage: 16,
         random: () => this.random(),
