Each waiting task looks for a promised place; live work preempts arrays on warm machines

Changed: a task without a promised place fetches at once; a service's replica takes the room of array work of lower priority, which can save, on a machine that has the image, where the fetch would be long. A restarted controller takes the leader's key for a sign of life and keeps its workers. The roster loses returned machines at once, and a machine that an earlier leader enrolled and no list names is fenced without the long wait: phantoms held up a takeover for 24 s.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -65,6 +65,8 @@
   firstListedAt: Steady | null = null;
   /** Was listed by the cloud long enough, and is missing now: most likely gone. */
   unlisted = false;
+  /** Enrolled by an earlier leader. */
+  inherited = false;
   /** When a report was last answered by us with authority, and since when without a silence. */
   answeredAt: Steady | null = null;
   answeredSince: Steady | null = null;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -68,7 +68,8 @@
 const GONE_KEPT_MS = 1_800_000;
 const FLEET_LOG_MS = 10_000;
 const ROSTER_MS = 300;
-const ROSTER_TIDY_MS = 3000;
+const ROSTER_TIDY_MS = 500;
+const TIDY_PAGES = 3;
 /** Attempts kept on a worker only because a copy of their start may still arrive; beyond, starts go in answers. */
 const MAX_UNREAPABLE = 16;
 const DEAF_LEASES = 1.5;
@@ -136,6 +137,7 @@
     m.roster = 'durable';
     m.page = page;
     this.roster.load(page, m.info);
+    m.inherited = true;
     m.up = true; // it had tasks or was about to
     this.blockers.add(info.id);
   }
@@ -589,8 +591,10 @@
     const names = new Set(listed.map((l) => l.id));
     for (const m of this.machines.values()) {
       // Once listed, a machine stays listed until it is gone; a list may be older than the one before it.
+      // One that an earlier leader enrolled and that no list since has named is most likely gone, too.
       m.unlisted =
-        m.firstListedAt !== null && now - m.firstListedAt > this.settings.listLagS * 2500 && !names.has(m.id);
+        !names.has(m.id) &&
+        (m.firstListedAt === null ? m.inherited : now - m.firstListedAt > this.settings.listLagS * 2500);
     }
     for (const [id, at] of this.gone) if (now - at > GONE_KEPT_MS) this.gone.delete(id);
     for (const l of listed) {
@@ -776,8 +780,11 @@
     if (now - this.lastTidy < ROSTER_TIDY_MS) return;
     this.lastTidy = now;
     // A name left on a page costs the next leader some waiting, nothing else: pages are tidied without haste.
-    const stale = this.roster.next('stale');
-    if (stale) this.effects.push({ kind: 'roster', ...stale });
+    for (let i = 0; i < TIDY_PAGES; i++) {
+      const stale = this.roster.next('stale');
+      if (!stale) break;
+      this.effects.push({ kind: 'roster', ...stale });
+    }
   }
 
   /** A new leader first hears one round of reports; silent machines hold up only what may be on them. */
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -60,6 +60,7 @@
 const OPEN_EMPTY_S = 8;
 const SUITS_S = 10;
 const WORTH_WAITING_S = 15;
+const WORTH_PREEMPTING_S = 12;
 const WAIT_SHARE = 0.7;
 const SLOWS_OTHERS = 0.3;
 const ORDINARY_FOR_SPOT_S = 8;
@@ -218,7 +219,8 @@
       }
       const slot = this.best(job, zones);
       if (slot) {
-        if (this.betterWait(job, slot, zones)) return;
+        if (this.warmVictims(job, slot, zones)) continue;
+        if (this.betterWait(job, slot, zones)) continue;
         if (this.betterBoot(job, slot, zones)) continue;
 
         this.assume(job, pending[i]!, slot, zones);
@@ -432,11 +434,36 @@
     return true;
   }
 
+  /**
+   * For live work, a long fetch on a free machine loses against a machine that has the image and holds work of lower
+   * priority which can save: that leaves within seconds, and goes on elsewhere from where it was.
+   */
+  private warmVictims(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
+    if (job.spec.kind !== 'service') return false;
+    const fetchS = this.fetchS(job.spec, slot);
+    if (fetchS < WORTH_PREEMPTING_S) return false;
+    const found = this.nominate(
+      job,
+      zones,
+      null,
+      (s) =>
+        s.machine.hasImage(job.spec.image) &&
+        mayRunOn(job.spec, s.machine.info.type, s.machine.info.zone, s.machine.info.spot),
+      (v) => v.job.spec.checkpointS > 0 && v.job.spec.saveS < fetchS / 2 && v.job.spec.kind === 'array',
+    );
+    if (!found) return false;
+    this.result.victims.push(...found.list);
+    this.reserve(job, found.slot, found.list, zones);
+    job.reason = { why: 'waiting for victims', victims: found.list.length };
+    return true;
+  }
+
   /**
    * A machine that has the image and is expected to be free well before a fetch elsewhere would end is worth
    * waiting for: the task starts earlier, and no machine stands idle while it fetches.
    */
   private betterWait(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
+    this.work += this.slots.length;
     const fetchS = this.fetchS(job.spec, slot);
     if (fetchS < WORTH_WAITING_S || job.spec.kind === 'service') return false;
     for (const other of this.slots) {
@@ -515,23 +542,30 @@
     job: Job,
     zones: Map<Zone, number>,
     only: Zone | null = null,
+    where: ((slot: Slot) => boolean) | null = null,
+    whom: (victim: Victim) => boolean = () => true,
   ): { slot: Slot; list: Victim[] } | null {
     const sig = this.signature(job);
     if (this.noVictims.has(sig) || (only !== null && this.noVictims.has(`${sig}|${only}`))) return null;
     this.work += this.slots.length * 3;
     let best: { slot: Slot; list: Victim[]; cost: number } | null = null;
     for (const slot of this.slots) {
+      if (where && !where(slot)) continue;
       if (!this.allowed(job, slot, zones, only)) continue;
-      const found = this.victimsOn(job, slot);
+      const found = this.victimsOn(job, slot, whom);
       if (found && (best === null || found.cost < best.cost)) best = { slot, ...found };
     }
-    if (!best && zones.size === 0 && job.errorMachines.size === 0) {
+    if (!best && !where && zones.size === 0 && job.errorMachines.size === 0) {
       this.noVictims.add(only === null ? sig : `${sig}|${only}`);
     }
     return best;
   }
 
-  private victimsOn(job: Job, slot: Slot): { list: Victim[]; cost: number } | null {
+  private victimsOn(
+    job: Job,
+    slot: Slot,
+    whom: (victim: Victim) => boolean,
+  ): { list: Victim[]; cost: number } | null {
     const room = { ...slot.free };
     add(room, slot.releasing);
     if (fits(job.spec, room)) return { list: [], cost: 0 };
@@ -539,7 +573,7 @@
     const candidates: Victim[] = [];
     for (const c of slot.machine.placements.values()) {
       if (priorityRank[c.job.spec.priority] >= rank) continue;
-      if (c.placement.stop || this.stopping.has(c.placement)) continue;
+      if (c.placement.stop || this.stopping.has(c.placement) || !whom(c)) continue;
       candidates.push(c);
     }
     candidates.sort((a, b) => this.loss(a) - this.loss(b));
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -78,7 +78,9 @@
     this.membership = new Membership(platform, operator.leaseMs, this.state, this.log, {
       onLead: () => this.lead(),
       onLost: (why) => this.follow(why),
-      onLeader: () => undefined,
+      // The key's lease is alive, so there was a leader at most a lease ago. This is what a controller has that was
+      // just restarted: without it, its workers would lose their leases for want of an answer.
+      onLeaderKey: () => this.checkin.sawLeader(operator.leaseMs),
     });
     this.links = platform.peers.map(
       (peer) =>
@@ -106,7 +108,7 @@
 
   start(): void {
     const { sockets } = this.platform.limits;
-    const limits = { connections: Math.floor(sockets * 0.6), idleMs: 60_000, bodyBytes: 64 * 1024 };
+    const limits = { connections: Math.floor(sockets * 0.75), idleMs: 60_000, bodyBytes: 64 * 1024 };
     const onPublic = httpConnections(limits, this.log, (q, reply) => void this.route(q, reply));
     this.listen(this.platform.publicAddr, onPublic);
     const inside = { connections: 16, idleMs: 10_000, bodyBytes: 1024 };
--- a/src/runtime/membership.ts
+++ b/src/runtime/membership.ts
@@ -23,7 +23,7 @@
     private readonly ttlMs: number,
     private readonly state: StateClient,
     private readonly log: Logger,
-    private readonly events: { onLead: () => void; onLost: (why: string) => void; onLeader: () => void },
+    private readonly events: { onLead: () => void; onLost: (why: string) => void; onLeaderKey: () => void },
   ) {}
 
   get authority(): boolean {
@@ -42,10 +42,8 @@
 
   learn(node: NodeName, term: Term): void {
     const held = this.election.held;
-    const before = this.election.leader;
     learnLeader(this.election, node, term);
     if (held && !this.election.held) this.events.onLost('higher term seen');
-    if (before?.term !== this.election.leader?.term) this.events.onLeader();
   }
 
   /** Gives leadership up of our own will, and leaves it to the others for a while. */
@@ -73,6 +71,7 @@
       const leader = parseLeader(r.value.data);
       if (!leader) return;
       this.learn(leader.node, leader.term);
+      this.events.onLeaderKey();
       // Our own key from before a restart: that process is dead, so its lease need not run out.
       const { permit } = r.value;
       if (this.firstLook && leader.node === this.platform.name && !this.election.held && permit) {
