--- /dev/null
+++ b/src/core/leader/fleet.ts
@@ -0,0 +1,201 @@
+// Machines from the roster, the list and the cloud: enrolled, watched, fenced and given back.
+import { Machine } from '../cluster.js';
+import { Roster } from '../roster.js';
+import type { ListedMachine, MachineInfo } from '../types.js';
+import type { MachineId, Steady, WallTime, Zone } from '../units.js';
+import type { LeaderState } from './state.js';
+
+const RETURN_RETRY_MS = 1500;
+const GONE_KEPT_MS = 1_800_000;
+const ROSTER_MS = 300;
+const ROSTER_TIDY_MS = 500;
+const TIDY_PAGES = 3;
+const SILENT_SHARE = 0.1;
+
+export class Fleet {
+  private readonly roster = new Roster();
+  private pages = 0;
+  private lastRoster = -Infinity;
+  private lastTidy = -Infinity;
+  private lastReturn = -Infinity;
+
+  constructor(private readonly state: LeaderState) {}
+
+  loadMachine(info: MachineInfo, page: string, now: Steady): void {
+    const m = this.state.addMachine(info, now);
+    m.endpointKnown = false;
+    m.roster = 'durable';
+    m.page = page;
+    this.roster.load(page, m.info);
+    m.inherited = true;
+    m.up = true; // it had tasks or was about to
+    this.state.blockers.add(info.id);
+  }
+
+  onList(listed: ListedMachine[], now: Steady): void {
+    const names = new Set(listed.map((l) => l.id));
+    for (const m of this.state.machines.values()) {
+      // Once listed, a machine stays listed until it is gone; a list may be older than the one before it.
+      // One that an earlier leader enrolled and that no list since has named is most likely gone, too.
+      m.unlisted =
+        !names.has(m.id) &&
+        (m.firstListedAt === null
+          ? m.inherited
+          : now - m.firstListedAt > this.state.settings.listLagS * 2500);
+    }
+    for (const [id, at] of this.state.gone) if (now - at > GONE_KEPT_MS) this.state.gone.delete(id);
+    for (const l of listed) {
+      let m = this.state.machines.get(l.id);
+      if (!m) {
+        if (this.state.gone.has(l.id)) continue;
+        // Rented by an earlier leader, or by a request carried out late: to be used or returned.
+        m = this.state.addMachine(l, now);
+        m.rentedAt = (now - l.ageS * 1000) as Steady;
+      }
+      m.firstListedAt ??= now;
+      if (l.status === 'failed') this.fence(m, 'failed', now);
+    }
+  }
+
+  onReturned(ids: MachineId[], ok: boolean, now: Steady): void {
+    for (const id of ids) {
+      const m = this.state.machines.get(id);
+      if (!m?.leaving) continue;
+      m.leaving.asked = false;
+      if (!ok) continue;
+      // The answer says that the machine and all that was on it are gone.
+      for (const { job, placement } of [...m.placements.values()])
+        this.state.lost(job, placement, 'machine gone', now);
+      this.state.machines.delete(id);
+      this.state.gone.set(id, now);
+      this.state.blockers.delete(id);
+      this.state.pokes.delete(m);
+      if (m.page !== null) this.roster.remove(m.page, id);
+      this.state.dirty = true;
+    }
+  }
+
+  onRoster(page: string, ok: boolean): void {
+    for (const id of this.roster.written(page, ok)) {
+      const m = this.state.machines.get(id);
+      if (!m || m.roster === 'durable') continue;
+      m.roster = 'durable';
+      m.quiet = false;
+      if (m.placements.size > 0) this.state.pokes.add(m);
+    }
+  }
+
+  /** Gives a machine back once its tasks have left. */
+  leave(m: Machine, why: string, now: Steady): void {
+    if (m.leaving) return;
+    m.leaving = { why, since: now, asked: false };
+    for (const { job, placement } of [...m.placements.values()]) this.state.evict(job, placement, why, now);
+  }
+
+  /** Gives a machine back with whatever it holds: the sure way to end what can't be reached. */
+  fence(m: Machine, why: string, now: Steady): void {
+    if (m.leaving?.why === 'fence') return;
+    m.leaving = { why: 'fence', since: now, asked: false };
+    this.state.log('info', { machine: m.id, why, tasks: m.placements.size }, 'machine fenced');
+  }
+
+  watchSilence(now: Steady, wall: WallTime): void {
+    const { reportS, leaseS, cancelS } = this.state.settings.workers;
+    const patience = Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
+    const longPatience = Math.max(patience, cancelS * 600);
+    // A cut silences a whole zone at one moment, but each machine is noticed at its own next report.
+    const missed = (reportS * 1.25 * 1.5 + 0.5) * 1000;
+    const silent: Machine[] = [];
+    const total = new Map<Zone, number>();
+    const quiet = new Map<Zone, number>();
+    for (const m of this.state.machines.values()) {
+      if (!m.up) continue;
+      const zone = m.info.zone;
+      total.set(zone, (total.get(zone) ?? 0) + 1);
+      const since = m.lastReportAt ?? this.state.startedAt;
+      if (now - since >= missed) quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
+      if (now - since >= patience) silent.push(m);
+    }
+    let up = 0;
+    for (const n of total.values()) up += n;
+    // Many at once, as after a takeover: it is the network or we that keep them silent. Fencing them all would
+    // destroy a healthy fleet; those that are really gone are soon missing from the cloud's list.
+    const many = silent.length > Math.max(3, up * SILENT_SHARE);
+    for (const m of silent) {
+      if (m.leaving?.why === 'fence') continue;
+      const zone = m.info.zone;
+      // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
+      const cut = quiet.get(zone)! >= 2 && quiet.get(zone)! >= 0.5 * total.get(zone)!;
+      const since = m.lastReportAt ?? this.state.startedAt;
+      const overdue = this.holdsOverdueCancel(m, wall);
+      if ((!cut && !many) || overdue || now - since >= longPatience || m.unlisted)
+        this.fence(m, cut ? 'zone silent' : 'silent', now);
+    }
+  }
+
+  /** A cancelled task must be gone within cancel_s: half of it is left to waiting, half to the fence. */
+  private holdsOverdueCancel(m: Machine, wall: WallTime): boolean {
+    for (const { job } of m.placements.values()) {
+      const at = job.record.cancelledAt;
+      if (at !== null && wall - at > this.state.settings.workers.cancelS * 500) return true;
+    }
+    return false;
+  }
+
+  watchBoots(now: Steady): void {
+    for (const m of this.state.machines.values()) {
+      if (m.up || m.leaving) continue;
+      const bootMs = (m.type?.bootS ?? 60) * 1000;
+      if (now - m.rentedAt > Math.max(4 * bootMs, 90_000)) this.fence(m, 'never came up', now);
+    }
+  }
+
+  returnLeaving(now: Steady): void {
+    if (now - this.lastReturn < RETURN_RETRY_MS) return;
+    const ids: MachineId[] = [];
+    for (const m of this.state.machines.values()) {
+      if (!m.leaving || m.leaving.asked) continue;
+      if (m.leaving.why !== 'fence' && m.busy) continue;
+      m.leaving.asked = true;
+      ids.push(m.id);
+      if (ids.length === 100) break;
+    }
+    if (ids.length === 0) return;
+    this.lastReturn = now;
+    this.state.effects.push({ kind: 'return', machines: ids });
+  }
+
+  /** Machines that come up together share a page, since writes are few: one write for up to a page of them. */
+  enroll(now: Steady): void {
+    if (now - this.lastRoster < ROSTER_MS) return;
+    const again = this.roster.next('failed');
+    if (again) {
+      this.lastRoster = now;
+      this.state.effects.push({ kind: 'roster', ...again });
+      return;
+    }
+    const page = `${this.state.leadership.term}-${this.pages + 1}`;
+    const fresh: MachineInfo[] = [];
+    for (const m of this.state.machines.values()) {
+      if (m.roster !== 'none' || !m.up || !m.endpointKnown || m.leaving) continue;
+      m.roster = 'writing';
+      m.page = page;
+      fresh.push(m.info);
+      if (fresh.length >= this.state.settings.rosterPage) break;
+    }
+    if (fresh.length > 0) {
+      this.lastRoster = now;
+      this.pages++;
+      this.roster.open(page, fresh);
+      this.state.effects.push({ kind: 'roster', page, machines: fresh });
+    }
+    if (now - this.lastTidy < ROSTER_TIDY_MS) return;
+    this.lastTidy = now;
+    // A name left on a page costs the next leader some waiting, nothing else: pages are tidied without haste.
+    for (let i = 0; i < TIDY_PAGES; i++) {
+      const stale = this.roster.next('stale');
+      if (!stale) break;
+      this.state.effects.push({ kind: 'roster', ...stale });
+    }
+  }
+}
--- /dev/null
+++ b/src/core/leader/queue.ts
@@ -0,0 +1,114 @@
+// The order in which groups are placed: first those that waited long, then by priority and by when they are due.
+import { add } from '../cluster.js';
+import { Job } from '../job.js';
+import { priorityRank, type Amounts } from '../types.js';
+import type { Steady, Team, WallTime } from '../units.js';
+import type { LeaderState } from './state.js';
+
+const HOPELESS_MS = 86_400_000;
+
+/** Whole groups before those that start piece by piece, which would take the room held for them; then by age. */
+const firstOrder = (a: Job, b: Job): number =>
+  Number(b.spec.kind === 'gang') - Number(a.spec.kind === 'gang') ||
+  a.record.submittedAt - b.record.submittedAt;
+
+export class Queue {
+  readonly finishAims = new Map<string, number[]>();
+
+  constructor(private readonly state: LeaderState) {
+    for (const o of state.settings.objectives) {
+      if (o.kind !== 'finished' || o.class === undefined || o.within_s === undefined) continue;
+      this.finishAims.set(o.class, [...(this.finishAims.get(o.class) ?? []), o.within_s]);
+    }
+  }
+
+  waiting(now: Steady, wall: WallTime): { queue: Job[]; blocked: Job[] } {
+    const queue: Job[] = [];
+    const blocked: Job[] = [];
+    for (const job of this.state.jobs.values()) {
+      if (job.cancelled || job.finalizing || job.pendingCount === 0) continue;
+      const idleMs = job.everRan ? now - job.waitingSince : wall - job.record.submittedAt;
+      job.aged = job.placements.size === 0 && idleMs > this.state.settings.agingS * 1000;
+      if (job.inherited && this.state.blockers.size > 0) {
+        job.reason = { why: 'task may still run on a silent machine' };
+      } else if (now < job.errorUntil) {
+        job.reason = { why: 'back-off', until: job.errorUntil as Steady };
+      } else if (this.inBackoff(job, now)) {
+        blocked.push(job);
+      } else {
+        queue.push(job);
+      }
+    }
+    this.chooseFirst(queue);
+    const dues = new Map(queue.map((j) => [j, this.due(j, wall)]));
+    const due = (j: Job): number => dues.get(j)!;
+    queue.sort(
+      (a, b) =>
+        Number(b.first) - Number(a.first) ||
+        (a.first ? firstOrder(a, b) : 0) ||
+        priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
+        due(a) - due(b) ||
+        (a.id < b.id ? -1 : 1),
+    );
+    return { queue, blocked };
+  }
+
+  /**
+   * Of each class the oldest and the largest group that have waited long go before everybody else: so every class
+   * goes on being served, and large groups begin, through bursts of higher priority. Only these: where all are late,
+   * priorities still hold among the others.
+   */
+  private chooseFirst(queue: Job[]): void {
+    const oldest = new Map<string, Job>();
+    const largest = new Map<string, Job>();
+    for (const job of queue) {
+      job.first = false;
+      if (!job.aged) continue;
+      const { class: name, tasks } = job.spec;
+      const old = oldest.get(name);
+      if (!old || job.record.submittedAt < old.record.submittedAt) oldest.set(name, job);
+      const large = largest.get(name);
+      const same = large && tasks === large.spec.tasks;
+      if (!large || tasks > large.spec.tasks || (same && job.record.submittedAt < large.record.submittedAt))
+        largest.set(name, job);
+    }
+    for (const job of [...oldest.values(), ...largest.values()]) job.first = true;
+  }
+
+  /**
+   * When a job should be over: the nearest aim that it can still meet. One that can meet none goes behind those
+   * that can, lest under overload everybody is late in turn.
+   */
+  private due(job: Job, wall: WallTime): number {
+    const { deadlineS, estimateS } = job.spec;
+    const aims = this.finishAims.get(job.spec.class) ?? [];
+    const limits = deadlineS === null ? aims : [deadlineS, ...aims];
+    const soonest = wall + estimateS * 1000;
+    let best = Infinity;
+    for (const s of limits) {
+      const at = job.record.submittedAt + s * 1000;
+      if (at >= soonest) best = Math.min(best, at);
+    }
+    if (best < Infinity) return best;
+    return limits.length === 0 ? job.record.submittedAt : job.record.submittedAt + HOPELESS_MS;
+  }
+
+  inBackoff(job: Job, now: Steady): boolean {
+    // Never for one that has waited long: the room held for it would go to others while it is in back-off.
+    return !job.aged && now < job.backoffUntil && job.rejectedAtWake === this.state.wakes;
+  }
+
+  teamUsage(): Map<Team, Amounts> {
+    const usage = new Map<Team, Amounts>();
+    for (const job of this.state.jobs.values()) {
+      let tasks = job.placements.size;
+      // Not located: an earlier leader may have started them on a machine that is still silent.
+      if (job.inherited && this.state.blockers.size > 0) tasks += job.pendingCount;
+      if (tasks === 0) continue;
+      const used = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+      add(used, job.spec, tasks);
+      usage.set(job.spec.team, used);
+    }
+    return usage;
+  }
+}
--- /dev/null
+++ b/src/core/leader/renting.ts
@@ -0,0 +1,107 @@
+// Renting for the waiting and the expected work; giving back what nothing needs.
+import { Arrivals } from '../arrivals.js';
+import { Machine, add } from '../cluster.js';
+import { Job } from '../job.js';
+import { capacityKey, planScaling, type RentOrder, type Want } from '../scaling.js';
+import type { Amounts } from '../types.js';
+import type { Endpoint, MachineId, Steady } from '../units.js';
+import type { Fleet } from './fleet.js';
+import type { LeaderState } from './state.js';
+
+const MAX_NEW_MACHINES = 60;
+
+export class Renting {
+  private readonly refusedUntil = new Map<string, Steady>();
+  private readonly refusals = new Map<string, number>();
+  private readonly rents = new Map<string, RentOrder>();
+  private requests = 0;
+
+  lastScale = -Infinity;
+  readonly arrivals = new Arrivals();
+
+  constructor(
+    private readonly state: LeaderState,
+    private readonly fleet: Fleet,
+  ) {}
+
+  onRented(request: string, outcome: { machines: MachineId[] } | 'no-capacity' | 'retry', now: Steady): void {
+    const order = this.rents.get(request);
+    if (!order) return;
+    const key = capacityKey(order.type, order.zone, order.spot);
+    if (outcome === 'retry') {
+      // The name is kept: a repeat of a request that was carried out gives the same machines.
+      this.state.effects.push({ kind: 'rent', request, order });
+      return;
+    }
+    this.rents.delete(request);
+    const got = outcome === 'no-capacity' ? 0 : outcome.machines.length;
+    if (outcome !== 'no-capacity') {
+      for (const id of outcome.machines) {
+        if (this.state.machines.has(id)) continue;
+        const info = { id, endpoint: '' as Endpoint, type: order.type, zone: order.zone, spot: order.spot };
+        this.state.addMachine(info, now);
+      }
+    }
+    if (got < order.count) {
+      const n = (this.refusals.get(key) ?? 0) + 1;
+      this.refusals.set(key, n);
+      const delay =
+        this.state.settings.capacityRetryS *
+        1000 *
+        Math.min(4, 2 ** (n - 1)) *
+        (0.75 + 0.5 * this.state.settings.random());
+      this.refusedUntil.set(key, (now + delay) as Steady);
+    } else {
+      this.refusals.delete(key);
+    }
+    this.state.log('info', { request, ...order, got }, 'rental answered');
+    this.state.dirty = true;
+  }
+
+  scale(waiting: Job[], now: Steady): void {
+    if (now - this.lastScale < 500 || this.state.types.length === 0) return;
+    this.lastScale = now;
+    const rooms: { machine: Machine; free: Amounts }[] = [];
+    for (const m of this.state.machines.values()) {
+      if (!m.type || m.leaving || m.sick || m.noticeAt !== null) continue;
+      if (m.up && !m.settled) continue;
+      const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
+      add(free, m.used(this.state.specOf), -1);
+      rooms.push({ machine: m, free });
+    }
+    const wants: Want[] = waiting.map((job) => ({
+      spec: job.spec,
+      tasks: Math.min(job.pendingCount, 200),
+      zones: this.state.zonesOf(job),
+      expected: false,
+    }));
+    for (const e of this.arrivals.expected(this.state.types, this.state.settings.headroom, now)) {
+      wants.push({ spec: e.spec, tasks: e.tasks, zones: new Map(), expected: true });
+    }
+    const { refusedUntil } = this;
+    const plan = planScaling({
+      rooms,
+      wants,
+      types: this.state.types,
+      refusedUntil,
+      now,
+      maxNew: MAX_NEW_MACHINES,
+    });
+    const pending = this.rents.size > 0;
+    if (!pending) {
+      for (const order of plan.orders) {
+        const request = `t${this.state.leadership.term}-${++this.requests}`;
+        const capped = { ...order, count: Math.min(order.count, 50) };
+        this.rents.set(request, capped);
+        this.state.effects.push({ kind: 'rent', request, order: capped });
+      }
+    }
+    for (const m of this.state.machines.values()) {
+      if (!m.up || m.leaving || m.busy || plan.needed.has(m.id) || m.idleSince === null || !m.settled)
+        continue;
+      const age = now - m.rentedAt;
+      if (now - m.idleSince > this.state.settings.idleHoldS * 1000 && age > 60_000)
+        this.fleet.leave(m, 'idle', now);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/leader/state.ts
@@ -0,0 +1,115 @@
+// Shared by the parts of the leader; stopping and releasing of placements.
+import { Machine } from '../cluster.js';
+import { Job, type Placement } from '../job.js';
+import type { Amounts, Leadership, MachineInfo, MachineType } from '../types.js';
+import type { JobId, MachineId, Steady, Zone } from '../units.js';
+import type { Effect, LeaderSettings } from './effects.js';
+
+/** What the parts of the leader share: the machines and jobs it knows, and the effects to be carried out. */
+export class LeaderState {
+  readonly machines = new Map<MachineId, Machine>();
+  readonly jobs = new Map<JobId, Job>();
+  types: MachineType[] = [];
+  /** Machines that may hold tasks of an earlier leader and have not reported under our token. */
+  readonly blockers = new Set<MachineId>();
+  /** Machines whose return was answered: lists lag and go on showing them for a while. */
+  readonly gone = new Map<MachineId, Steady>();
+  readonly pokes = new Set<Machine>();
+  effects: Effect[] = [];
+  dirty = true;
+  news = true;
+  wakes = 0;
+
+  specOf = (id: JobId): Amounts | null => this.jobs.get(id)?.spec ?? null;
+
+  constructor(
+    readonly leadership: Leadership,
+    readonly settings: LeaderSettings,
+    readonly startedAt: Steady,
+  ) {}
+
+  takeEffects(): Effect[] {
+    const out = this.effects;
+    this.effects = [];
+    return out;
+  }
+
+  release(job: Job, p: Placement, now: Steady): void {
+    const m = this.machines.get(p.machine);
+    m?.unassign(job.id, p.index);
+    job.release(p.index);
+    job.waitingSince = now;
+    this.dirty = true;
+    this.wake();
+  }
+
+  lost(job: Job, p: Placement, why: string, now: Steady): void {
+    this.log('info', { job: job.id, task: p.index, machine: p.machine, why }, 'task lost');
+    this.release(job, p, now);
+    if (job.spec.kind === 'gang') this.breakGang(job, why, now);
+  }
+
+  /** A gang below its minimum is stopped; once its members are gone it requeues from its checkpoint. */
+  breakGang(job: Job, why: string, now: Steady): void {
+    for (const p of [...job.placements.values()]) this.stopPlacement(job, p, 0, `gang broken: ${why}`, now);
+  }
+
+  stopPlacement(job: Job, p: Placement, graceS: number, why: string, now: Steady): void {
+    if (p.stop) {
+      if (graceS === 0) p.stop.graceS = 0;
+      this.machines.get(p.machine)?.changed();
+      return;
+    }
+    p.stop = { graceS, since: now, why };
+    this.news = true;
+    const m = this.machines.get(p.machine);
+    m?.changed();
+    if (!p.sentWith && !p.orderOpen && !p.orderLost && !p.seen) {
+      this.release(job, p, now); // never told to anyone
+      return;
+    }
+    if (m) this.pokes.add(m);
+  }
+
+  /** Stops a task for a reason of ours; a gang goes as a whole, all members told at once. */
+  evict(job: Job, p: Placement, why: string, now: Steady): void {
+    const graceS = job.spec.checkpointS > 0 ? job.spec.saveS : 0;
+    const group = job.spec.kind === 'gang' ? [...job.placements.values()] : [p];
+    for (const each of group) this.stopPlacement(job, each, graceS, why, now);
+  }
+
+  cancel(job: Job, now: Steady): void {
+    this.log('debug', { job: job.id, tasks: job.placements.size }, 'job cancelled');
+    for (const p of [...job.placements.values()]) this.stopPlacement(job, p, 0, 'cancelled', now);
+    this.dirty = true;
+  }
+
+  addMachine(info: MachineInfo, now: Steady): Machine {
+    const plain = { id: info.id, endpoint: info.endpoint, type: info.type, zone: info.zone, spot: info.spot };
+    const m = new Machine(
+      plain,
+      this.types.find((t) => t.name === info.type),
+      now,
+    );
+    this.machines.set(info.id, m);
+    return m;
+  }
+
+  /** Anything that could let a rejected group fit ends its back-off early. */
+  wake(): void {
+    this.wakes++;
+  }
+
+  zonesOf(job: Job): Map<Zone, number> {
+    const zones = new Map<Zone, number>();
+    for (const p of job.placements.values()) {
+      const zone = this.machines.get(p.machine)?.info.zone;
+      if (zone !== undefined) zones.set(zone, (zones.get(zone) ?? 0) + 1);
+    }
+    return zones;
+  }
+
+  log(level: 'info' | 'debug', fields: Record<string, unknown>, text: string): void {
+    this.effects.push({ kind: 'log', level, fields, text });
+  }
+}
