--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -3,6 +3,7 @@
 import { createHistogram } from 'node:perf_hooks';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { Admission } from './admission.js';
 import { Checkin } from './checkin.js';
 import { CloudClient } from './cloud-client.js';
 import { httpConnections, type HttpReply } from './http-server.js';
@@ -24,6 +25,7 @@
 
 const STATE_FRESH_MS = 2500;
 const MAX_USER_REQUESTS = 32;
+const RESERVED_USER_REQUESTS = 8;
 const TYPES_REFRESH_MS = 30_000;
 const FORWARD_TIMEOUT_MS = 2000;
 const HINTS_MS = 3000;
@@ -62,8 +64,7 @@
   private loop: LeaderLoop | null = null;
   private types: MachineType[] = [];
   private hints: ImageHints = {};
-  private userRequests = 0;
-  private refused = 0;
+  private readonly admission = new Admission(MAX_USER_REQUESTS, RESERVED_USER_REQUESTS);
   private readonly times = { user: createHistogram(), report: createHistogram() };
 
   constructor(
@@ -164,17 +165,19 @@
         return;
       }
       // The stage is full: the user is told at once when to come back.
-      if (this.userRequests >= MAX_USER_REQUESTS) {
-        this.refused++;
+      const who = q.method === 'GET' ? q.target : null;
+      if (!this.admission.enter(who)) {
         reply({ status: 503, retryAfterS: 1 });
         return;
       }
-      this.userRequests++;
+      let served = false;
       try {
-        reply(await this.serveUser(q));
+        const answer = await this.serveUser(q);
+        served = answer.status !== 503;
+        reply(answer);
         record('user');
       } finally {
-        this.userRequests--;
+        this.admission.leave(who, served);
       }
     } catch (e) {
       // A fault in one request must not end the controller.
@@ -301,7 +304,7 @@
     });
     const body = {
       ...this.status(),
-      requests: { open: this.userRequests, refused: this.refused, ...stage(this.times.user) },
+      requests: { open: this.admission.busy, refused: this.admission.refused, ...stage(this.times.user) },
       reports: stage(this.times.report),
       queue: this.loop?.core?.status() ?? null,
     };
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -18,6 +18,8 @@
 type Lookup =
   | { kind: 'active'; record: JobRecord; stamp: Stamp }
   | { kind: 'final'; record: FinalRecord }
+  /** A record that can't be read: its job was accepted, and nothing else is known of it. */
+  | { kind: 'damaged' }
   | { kind: 'none' }
   | { kind: 'undecided' };
 
@@ -119,6 +121,7 @@
       const done = found.record.tasks;
       return good(statusBody(id, found.record.state, { done, running: 0 }));
     }
+    if (found.kind === 'damaged') return good(statusBody(id, 'pending', { done: 0, running: 0 }));
     if (found.kind !== 'active') return busy('not certain');
     if (found.record.cancelledAt !== null) return good(statusBody(id, 'withdrawn', { done: 0, running: 0 }));
     const counts = (await this.counts(id)) ?? { done: 0, running: 0 };
@@ -130,7 +133,7 @@
     for (let tries = 0; tries < 3; tries++) {
       const found = await this.lookup(id);
       if (found.kind === 'none') return bad(404, 'no such job');
-      if (found.kind === 'undecided') return busy('state service does not answer');
+      if (found.kind === 'undecided' || found.kind === 'damaged') return busy('not certain');
       if (found.kind === 'final') return good(statusBody(id, found.record.state));
       if (found.record.cancelledAt !== null) return good(statusBody(id, 'withdrawn'));
       // Done against cancelled is decided here: both compare the job's record.
@@ -155,7 +158,7 @@
     const active = await this.state.get(keys.active(id));
     if (active.kind === 'ok') {
       const record = parseJobRecord(active.value.data);
-      return record ? { kind: 'active', record, stamp: active.value.stamp } : { kind: 'undecided' };
+      return record ? { kind: 'active', record, stamp: active.value.stamp } : { kind: 'damaged' };
     }
     if (active.kind !== 'gone') return { kind: 'undecided' };
     const final = await this.state.get(keys.final(id));
--- a/src/test/user-api.test.ts
+++ b/src/test/user-api.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import type { HttpMessage } from '../runtime/http-parser.js';
 import type { StateClient } from '../runtime/state-client.js';
+import { Admission } from '../runtime/admission.js';
 import { UserApi } from '../runtime/user-api.js';
 import type { Platform } from '../config/platform.js';
 import type { Counter } from '../core/units.js';
@@ -142,3 +143,25 @@
   assert.equal(await submit({ outfit: 'nobody' }), '200 pending');
   assert.equal(await submit({ hands: 0 }), '200 pending');
 });
+
+test('a damaged record is never gone: its job stays known', async () => {
+  const { store, make, call } = setup();
+  const api = make();
+  assert.equal(await call(api, 'POST', '/v1/jobs', job), '201 pending');
+  store.items.set('j/wk-1', { data: { spec: 'damaged' }, stamp: 99 });
+  assert.equal(await call(api, 'GET', '/v1/jobs/wk-1'), '200 pending');
+  assert.equal(await call(api, 'POST', '/v1/jobs', job), '200 pending');
+});
+
+test('nobody is turned away again and again while others are served', () => {
+  const stage = new Admission(2, 1);
+  assert.ok(stage.enter('a') && stage.enter('b'));
+  assert.equal(stage.enter('c'), false, 'full: answered at once');
+  assert.equal(stage.enter('d'), false);
+  assert.equal(stage.enter('c'), true, 'the second time it has room that others do not get');
+  assert.equal(stage.enter('e'), false);
+  assert.equal(stage.enter('d'), false, 'the reserve is bounded, too');
+  stage.leave('c', true);
+  assert.equal(stage.enter('c'), false, 'served: it is one of many again');
+  assert.equal(stage.enter('d'), true);
+});
