--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -39,6 +39,8 @@
   unplaced: { job: Job; tasks: number }[];
   /** Groups that this cycle did not get to. */
   unfinished: Job[];
+  /** Machines looked at: what a cycle costs. */
+  work: number;
 }
 
 export interface CycleInput {
@@ -160,10 +162,9 @@
   private readonly signatures = new Map<Job, string>();
   private readonly suitsMemo = new Map<JobSpec, Map<TypeName, number>>();
   private holds = 0;
-  /** Machines looked at: the measure by which a cycle is bounded. */
-  work = 0;
+  private work = 0;
   private readonly stopping = new Set<Placement>();
-  readonly result: CycleResult = { placed: [], victims: [], unplaced: [], unfinished: [] };
+  readonly result: CycleResult = { placed: [], victims: [], unplaced: [], unfinished: [], work: 0 };
 
   constructor(private readonly input: CycleInput) {
     for (const m of input.machines.values()) this.addSlot(m);
@@ -176,6 +177,7 @@
       if (this.work < this.input.maxWork) this.placeJob(job);
       else this.result.unfinished.push(job);
     }
+    this.result.work = this.work;
     return this.result;
   }
 
--- a/src/runtime/state-client.ts
+++ b/src/runtime/state-client.ts
@@ -22,7 +22,7 @@
 const MAX_WAIT_MS = 250;
 const MAX_WAITING = 24;
 /** What remains in the buckets for callers that must not be starved. */
-export const reserves = { urgent: 0, normal: 2, low: 6 };
+export const reserves = { urgent: 0, normal: 2 };
 
 export class StateClient {
   private readonly calls: HttpClient;
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -235,3 +235,25 @@
   assert.deepEqual([...big.dirty], [6]);
   assert.ok(!big.isDurable(99_999));
 });
+
+test('at 700 machines a cycle costs what its signatures need, not what jobs and tasks multiply to', () => {
+  const full = job('wk-0', { tasks: 5600, priority: 'production', cpus: 8 });
+  const machines = Array.from({ length: 700 }, (_, i) => machine(`m${i}`, 'large', i % 2 ? 'east' : 'west'));
+  machines.forEach((m, i) => {
+    for (let k = 0; k < 8; k++) put(m, full, i * 8 + k);
+  });
+  const waiting = (n: number): Job[] =>
+    Array.from({ length: n }, (_, i) =>
+      job(`wk-${i + 1}`, { tasks: 40, cpus: 4 + (i % 5), kind: i % 2 ? 'gang' : 'array', oneZone: true }),
+    );
+  const few = cycle(machines, waiting(10)).work;
+  const many = cycle(machines, waiting(300)).work;
+  assert.ok(
+    many <= few * 2,
+    `${few} machines looked at for 10 jobs, ${many} for 300 with the same signatures`,
+  );
+  // With room everywhere the bound holds, and what is left over goes on in the next cycle.
+  const empty = Array.from({ length: 700 }, (_, i) => machine(`e${i}`, 'large', i % 2 ? 'east' : 'west'));
+  const busy = cycle(empty, waiting(120));
+  assert.ok(busy.unfinished.length > 0 && busy.work < 200_000 + 40 * 4 * 700, `${busy.work}`);
+});
