One socket budget, leases on their own line, victims found by sums and kept

One message with the hints of all machines neared the frame limit. Change: connections for orders are bounded, the longest unused goes first; the public ones end with each answer above four fifths, and idle ones give way; leases have their own pool; frames leave in batches; hints go page by page; a cycle's work follows the share of a core; lists of the cloud leave room for renting and keep their pages. Ruled out: 429 from the state service (none), memory (74 MB at the most).

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,4 +1,10 @@
-import type { Amounts, MachineInfo, MachineType, ReportedTask } from './types.js';
+import {
+  priorityRank,
+  type Amounts,
+  type MachineInfo,
+  type MachineType,
+  type ReportedTask,
+} from './types.js';
 import { taskId, type Counter, type JobId, type MachineId, type Steady, type TaskId } from './units.js';
 import type { Job, Placement } from './job.js';
 
@@ -18,6 +24,19 @@
 
 export const UNHEEDED_IS_DEAF = 2;
 
+const nothing = (): Amounts => ({ cpus: 0, gpus: 0, memoryGb: 0 });
+
+/** What a machine's placements mean to the scheduler; made anew only when something changed there. */
+export interface Load {
+  /** Room that tasks already told to stop will leave. */
+  releasing: Amounts;
+  leaving: boolean;
+  /** Images being fetched, with their sizes. */
+  fetching: Map<string, number>;
+  /** By priority: what tasks of lower ones take that may be stopped; null: there are none. */
+  below: (Amounts | null)[];
+}
+
 export const sameTasks = (a: ReportedTask[], b: ReportedTask[]): boolean => {
   if (a.length !== b.length) return false;
   for (let i = 0; i < a.length; i++) {
@@ -54,6 +73,7 @@
   readonly unreapable = new Set<AttemptKey>();
   private readonly placed = new Map<TaskId, { job: Job; placement: Placement }>();
   private usedMemo: Amounts | null = null;
+  private loadMemo: Load | null = null;
   private readonly images = new Map<string, number>();
   noticeAt: Steady | null = null;
   noticeEndsAt: Steady | null = null;
@@ -97,9 +117,34 @@
   /** What is known of its tasks has changed: sums are made anew, and its next report is looked at in full. */
   changed(): void {
     this.usedMemo = null;
+    this.loadMemo = null;
     this.quiet = false;
   }
 
+  load(): Load {
+    if (this.loadMemo) return this.loadMemo;
+    const load: Load = {
+      releasing: nothing(),
+      leaving: false,
+      fetching: new Map(),
+      below: [null, null, null, null],
+    };
+    for (const { job, placement } of this.placed.values()) {
+      const { spec } = job;
+      if (!placement.running && !this.hasImage(spec.image)) load.fetching.set(spec.image, spec.imageGb);
+      if (placement.stop) {
+        add(load.releasing, spec);
+        load.leaving = true;
+        continue;
+      }
+      if (placement.shielded) continue;
+      for (let rank = priorityRank[spec.priority] + 1; rank < load.below.length; rank++)
+        add((load.below[rank] ??= nothing()), spec);
+    }
+    this.loadMemo = load;
+    return load;
+  }
+
   get id(): MachineId {
     return this.info.id;
   }
@@ -120,6 +165,7 @@
 
   /** The worker's cache keeps the most recently used images, as far as they fit. */
   useImage(image: string, gb: number): void {
+    this.loadMemo = null;
     this.images.delete(image);
     this.images.set(image, gb);
     let total = 0;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -33,7 +33,6 @@
 import { LeaderState } from './leader/state.js';
 
 const MAX_TASKS_A_CYCLE = 40;
-const MAX_WORK_A_CYCLE = 200_000;
 const BACKOFF_MS = 400;
 const BACKOFF_MAX_MS = 5000;
 const FLEET_LOG_MS = 10_000;
@@ -223,7 +222,7 @@
       now,
       silentMs: this.settings.workers.reportS * 2500,
       maxTasks: MAX_TASKS_A_CYCLE,
-      maxWork: MAX_WORK_A_CYCLE,
+      maxWork: this.settings.cycleWork,
       suits: (spec, type) => this.suits.penalty(spec, type),
     });
     for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
--- a/src/core/leader/effects.ts
+++ b/src/core/leader/effects.ts
@@ -27,6 +27,8 @@
   headroom: number;
   /** Machines on one page of the durable roster. */
   rosterPage: number;
+  /** Machines looked at in one cycle, at the most. */
+  cycleWork: number;
   /** Uniform in [0, 1). */
   random: () => number;
 }
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -24,6 +24,18 @@
   empty: boolean;
   /** Kept free for a group that has waited long. */
   heldFor: Job | null;
+  /** Something here was told to stop. */
+  leaving: boolean;
+  /** By priority: what tasks of lower ones take that were not told to stop when the cycle began. */
+  below: readonly (Amounts | null)[];
+  /** Counts changes of what is free or nominated here. */
+  version: number;
+}
+
+/** What was found for a group on a machine, as of the machine's version then. */
+interface Found {
+  version: number;
+  victims: { list: Victim[]; cost: number } | null;
 }
 
 export interface Assumed {
@@ -59,6 +71,13 @@
   suits: (spec: JobSpec, type: TypeName) => number;
 }
 
+interface Nomination {
+  slot: Slot;
+  list: Victim[];
+  cost: number;
+}
+
+const anybody = (): boolean => true;
 const MAX_HOLDS = 8;
 const EMPTY: Map<Zone, number> = new Map();
 const OPEN_EMPTY_S = 8;
@@ -164,11 +183,24 @@
   private holds = 0;
   private work = 0;
   private readonly stopping = new Set<Placement>();
+  private nominated: { job: Job; bySlot: Map<Slot, Found> } | null = null;
+  /** Machines with room for the smallest waiting task: all that a placement without victims can go to. */
+  private readonly open: Slot[] = [];
+  /** By priority: machines where something is leaving or may be stopped. */
+  private stoppable: (Slot[] | null)[] = [];
   readonly result: CycleResult = { placed: [], victims: [], unplaced: [], unfinished: [], work: 0 };
 
   constructor(private readonly input: CycleInput) {
     for (const m of input.machines.values()) this.addSlot(m);
     for (const [team, used] of input.usage) this.usage.set(team, { ...used });
+    // Room only shrinks within a cycle, so what is full now is not looked at again.
+    const least = { cpus: Infinity, gpus: Infinity, memoryGb: Infinity };
+    for (const { spec } of input.queue) {
+      least.cpus = Math.min(least.cpus, spec.cpus);
+      least.gpus = Math.min(least.gpus, spec.gpus);
+      least.memoryGb = Math.min(least.memoryGb, spec.memoryGb);
+    }
+    for (const slot of this.slots) if (fits(least, slot.free)) this.open.push(slot);
   }
 
   run(): CycleResult {
@@ -189,14 +221,23 @@
     if (m.lastReportAt !== null && this.input.now - m.lastReportAt > this.input.silentMs) return;
     const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
     add(free, m.used(this.input.specOf), -1);
-    const releasing = { cpus: 0, gpus: 0, memoryGb: 0 };
-    const fetching = new Map<string, number>();
-    for (const { job, placement } of m.placements.values()) {
-      if (placement.stop) add(releasing, job.spec);
-      if (!placement.running && !m.hasImage(job.spec.image)) fetching.set(job.spec.image, job.spec.imageGb);
-    }
+    const load = m.load();
+    const releasing = { ...load.releasing };
+    const fetching = new Map(load.fetching);
     const promised = { cpus: 0, gpus: 0, memoryGb: 0 };
-    const slot = { machine: m, free, releasing, promised, fetching, readyInS, empty: !m.busy, heldFor: null };
+    const slot: Slot = {
+      machine: m,
+      free,
+      releasing,
+      promised,
+      fetching,
+      readyInS,
+      empty: !m.busy,
+      heldFor: null,
+      leaving: load.leaving,
+      below: load.below,
+      version: 0,
+    };
     if (!m.up) {
       this.booting.push(slot);
       return;
@@ -350,6 +391,7 @@
     // Not complete: nobody is stopped. The nominations are taken back.
     for (const slot of reserved) {
       add(slot.free, job.spec);
+      slot.version++;
       this.ranked.get(job)?.changed(slot);
     }
     if (reserved.length > 0) this.forgetHopeless(job, zone);
@@ -357,7 +399,9 @@
     else this.usage.delete(job.spec.team);
     for (const v of victims) {
       this.stopping.delete(v.placement);
-      add(this.byId.get(v.placement.machine)!.releasing, v.job.spec, -1);
+      const slot = this.byId.get(v.placement.machine)!;
+      add(slot.releasing, v.job.spec, -1);
+      slot.version++;
     }
     return false;
   }
@@ -400,8 +444,8 @@
     if (this.noRoom.has(sig) || (only !== null && this.noRoom.has(`${sig}|${only}`))) return null;
     let ranking = this.ranked.get(job);
     if (!ranking) {
-      this.work += this.slots.length;
-      const slots = this.slots.filter((s) => fits(job.spec, s.free) && this.allowed(job, s, EMPTY, null));
+      this.work += this.open.length;
+      const slots = this.open.filter((s) => fits(job.spec, s.free) && this.allowed(job, s, EMPTY, null));
       if (slots.length === 0 && job.errorMachines.size === 0) this.noRoom.add(sig);
       ranking = new Ranking(slots, (s) => this.score(job.spec, s));
       this.ranked.clear(); // another group was placed in between: its scores are out of date
@@ -409,7 +453,7 @@
     }
     this.work += ranking.size;
     const best = ranking.best((s) => fits(job.spec, s.free) && this.allowed(job, s, zones, only));
-    if (!best && zones.size === 0 && job.errorMachines.size === 0) {
+    if (!best && this.zonesDontMatter(job, zones) && job.errorMachines.size === 0) {
       this.noRoom.add(only === null ? sig : `${sig}|${only}`);
     }
     return best;
@@ -454,13 +498,9 @@
     if (job.spec.kind !== 'service') return false;
     const fetchS = this.fetchS(job.spec, slot);
     if (fetchS < WORTH_PREEMPTING_S) return false;
-    const found = this.nominate(
+    const found = this.nominateWarm(
       job,
       zones,
-      null,
-      (s) =>
-        s.machine.hasImage(job.spec.image) &&
-        mayRunOn(job.spec, s.machine.info.type, s.machine.info.zone, s.machine.info.spot),
       (v) => v.job.spec.checkpointS > 0 && v.job.spec.saveS < fetchS / 2 && v.job.spec.kind === 'array',
     );
     if (!found) return false;
@@ -534,6 +574,7 @@
 
   private take(job: Job, slot: Slot, zones: Map<Zone, number>): void {
     add(slot.free, job.spec, -1);
+    slot.version++;
     this.ranked.get(job)?.changed(slot);
     const used = this.usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
     add(used, job.spec);
@@ -546,36 +587,74 @@
     for (const v of victims) {
       this.stopping.add(v.placement);
       add(slot.releasing, v.job.spec);
+      slot.version++;
+    }
+    if (victims.length > 0 && !slot.leaving) {
+      slot.leaving = true;
+      this.stoppable = []; // where nothing could leave before
     }
     this.take(job, slot, zones);
   }
 
   /** The machine where room costs the least lower-priority work; an empty list: only wait for those leaving. */
-  private nominate(
-    job: Job,
-    zones: Map<Zone, number>,
-    only: Zone | null = null,
-    where: ((slot: Slot) => boolean) | null = null,
-    whom: (victim: Victim) => boolean = () => true,
-  ): { slot: Slot; list: Victim[] } | null {
+  private nominate(job: Job, zones: Map<Zone, number>, only: Zone | null = null): Nomination | null {
     const sig = this.signature(job);
     if (this.noVictims.has(sig) || (only !== null && this.noVictims.has(`${sig}|${only}`))) return null;
-    this.work += this.slots.length * 3;
-    let best: { slot: Slot; list: Victim[]; cost: number } | null = null;
-    for (const slot of this.slots) {
-      if (where && !where(slot)) continue;
+    const slots = this.mayYield(priorityRank[job.spec.priority]);
+    this.work += slots.length;
+    // Kept while like members are nominated for one after the other: each changes one machine.
+    if (this.nominated?.job !== job) this.nominated = { job, bySlot: new Map() };
+    const { bySlot } = this.nominated;
+    let best: Nomination | null = null;
+    for (const slot of slots) {
       if (!this.allowed(job, slot, zones, only)) continue;
-      const found = this.victimsOn(job, slot, whom);
-      if (!found) continue;
-      found.cost += this.fetchS(job.spec, slot);
-      if (best === null || found.cost < best.cost) best = { slot, ...found };
+      let found = bySlot.get(slot);
+      if (found?.version !== slot.version) {
+        found = { version: slot.version, victims: this.victimsOn(job, slot, anybody) };
+        if (found.victims) found.victims.cost += this.fetchS(job.spec, slot);
+        bySlot.set(slot, found);
+      }
+      const { victims } = found;
+      if (victims && (best === null || victims.cost < best.cost)) best = { slot, ...victims };
     }
-    if (!best && !where && zones.size === 0 && job.errorMachines.size === 0) {
+    if (!best && this.zonesDontMatter(job, zones) && job.errorMachines.size === 0) {
       this.noVictims.add(only === null ? sig : `${sig}|${only}`);
     }
     return best;
   }
 
+  /** The same among machines that have the job's image, with only such victims as may be stopped for that. */
+  private nominateWarm(
+    job: Job,
+    zones: Map<Zone, number>,
+    whom: (victim: Victim) => boolean,
+  ): Nomination | null {
+    const slots = this.mayYield(priorityRank[job.spec.priority]);
+    this.work += slots.length;
+    let best: Nomination | null = null;
+    for (const slot of slots) {
+      if (!slot.machine.hasImage(job.spec.image) || !this.allowed(job, slot, zones, null)) continue;
+      const victims = this.victimsOn(job, slot, whom);
+      if (victims && (best === null || victims.cost < best.cost)) best = { slot, ...victims };
+    }
+    return best;
+  }
+
+  /** Where its other tasks are doesn't limit where the next one goes: a failure holds for all alike. */
+  private zonesDontMatter(job: Job, zones: Map<Zone, number>): boolean {
+    return zones.size === 0 || !(job.spec.spread || job.spec.oneZone);
+  }
+
+  private mayYield(rank: number): Slot[] {
+    let slots = this.stoppable[rank];
+    if (!slots) {
+      this.work += this.slots.length;
+      slots = this.slots.filter((s) => s.leaving || s.below[rank]);
+      this.stoppable[rank] = slots;
+    }
+    return slots;
+  }
+
   private victimsOn(
     job: Job,
     slot: Slot,
@@ -585,18 +664,25 @@
     add(room, slot.releasing);
     if (fits(job.spec, room)) return { list: [], cost: 0 };
     const rank = priorityRank[job.spec.priority];
-    const candidates: Victim[] = [];
+    // Most machines hold too little that may be stopped: told by sums, without looking at their tasks.
+    const most = slot.below[rank];
+    if (!most) return null;
+    add(room, most);
+    if (!fits(job.spec, room)) return null;
+    add(room, most, -1);
+    const candidates: (Victim & { loss: number })[] = [];
     for (const c of slot.machine.placements.values()) {
+      this.work++;
       if (priorityRank[c.job.spec.priority] >= rank) continue;
       if (c.placement.shielded || c.placement.stop || this.stopping.has(c.placement) || !whom(c)) continue;
-      candidates.push(c);
+      candidates.push({ ...c, loss: this.loss(c) });
     }
-    candidates.sort((a, b) => this.loss(a) - this.loss(b));
+    candidates.sort((a, b) => a.loss - b.loss);
     const list: Victim[] = [];
     let cost = 0;
     for (const c of candidates) {
       list.push(c);
-      cost += this.loss(c) + 1;
+      cost += c.loss + 1;
       add(room, c.job.spec);
       if (fits(job.spec, room)) return { list, cost };
     }
--- a/src/runtime/cloud-client.ts
+++ b/src/runtime/cloud-client.ts
@@ -13,15 +13,23 @@
   | { kind: 'unknown' };
 
 const TIMEOUT_MS = 3000;
+/** What reads leave in the budget: renting and returning go first. */
+const FOR_CHANGES = 1;
+const PAGE_TRIES = 5;
+const PAGE_RETRY_MS = 400;
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 
 export class CloudClient {
   private readonly http: HttpClient;
   private readonly budget: Budget;
+  private readonly forChanges: number;
 
   constructor(platform: Platform) {
     this.http = new HttpClient(platform.cloud, 6, 20_000);
     const rps = platform.cloudLimits.rps * 0.85;
-    this.budget = new Budget(rps, Math.max(1, rps * 1.5), performance.now());
+    const burst = Math.max(1, rps * 1.5);
+    this.budget = new Budget(rps, burst, performance.now());
+    this.forChanges = burst >= 2 * FOR_CHANGES ? FOR_CHANGES : 0;
   }
 
   /** Null while the cloud doesn't answer. */
@@ -33,13 +41,16 @@
     const machines: ListedMachine[] = [];
     let since: MachineId | null = null;
     for (;;) {
-      const page: ReturnType<typeof wire.parseMachines> = await this.read(
-        wire.listTarget(since, 500),
-        wire.parseMachines,
-      );
+      // A page refused must not throw away those before it: under a tight budget no list would ever be complete.
+      let page: ReturnType<typeof wire.parseMachines> = null;
+      for (let tries = 0; page === null && tries < PAGE_TRIES; tries++) {
+        if (tries > 0) await sleep(PAGE_RETRY_MS);
+        page = await this.read(wire.listTarget(since, 500), wire.parseMachines);
+        if (page === null && machines.length === 0) return null;
+      }
       if (!page) return null;
       machines.push(...page.machines);
-      const last = page.machines.at(-1);
+      const last: ListedMachine | undefined = page.machines.at(-1);
       if (!page.more || !last) return machines;
       since = last.id;
     }
@@ -71,7 +82,7 @@
   }
 
   private async read<T>(target: string, parse: (raw: unknown) => T | null): Promise<T | null> {
-    if (!this.budget.take(1, performance.now())) return null;
+    if (!this.budget.take(1, performance.now(), this.forChanges)) return null;
     const r = await this.http.request('GET', target, null, TIMEOUT_MS);
     return r.ok && r.status === 200 ? parse(tryDecode(r.body)) : null;
   }
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -8,16 +8,17 @@
 import { CloudClient } from './cloud-client.js';
 import { httpConnections, type HttpReply } from './http-server.js';
 import type { HttpMessage } from './http-parser.js';
+import { HintStore, isHints } from './image-hints.js';
 import { LeaderLoop } from './leader-loop.js';
 import { Logger } from './logger.js';
 import { Membership } from './membership.js';
 import { PeerLink, answerPeer, type PeerRequest, type PeerResponse, type PeerStatus } from './peer-link.js';
+import { STATUS_CONNECTIONS, socketBudget } from './sockets.js';
 import { StateClient, reserves } from './state-client.js';
 import { UserApi } from './user-api.js';
 import type { Operator } from '../config/operator.js';
 import type { Address, Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
-import type { ImageHints } from '../core/leader.js';
 import type { MachineType } from '../core/types.js';
 import type { JobId } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
@@ -28,17 +29,10 @@
 const RESERVED_USER_REQUESTS = 8;
 const TYPES_REFRESH_MS = 30_000;
 const FORWARD_TIMEOUT_MS = 2000;
-const HINTS_MS = 3000;
+const HINTS_MS = 1000;
 /** The leader's part of the state service's budget. */
 const leaderShare = 0.6;
 
-const isHints = (x: unknown): x is ImageHints =>
-  typeof x === 'object' &&
-  x !== null &&
-  Object.values(x).every(
-    (v) => Array.isArray(v) && v.every((i) => Array.isArray(i) && typeof i[0] === 'string'),
-  );
-
 const forwarded = (a: PeerResponse | null): HttpReply | null => {
   const status = a?.['status'];
   const body = a?.['body'];
@@ -61,9 +55,10 @@
   private readonly users: UserApi;
   private readonly checkin: Checkin;
   private readonly random: () => number;
+  private readonly sockets;
   private loop: LeaderLoop | null = null;
   private types: MachineType[] = [];
-  private hints: ImageHints = {};
+  private readonly hints = new HintStore();
   private readonly admission = new Admission(MAX_USER_REQUESTS, RESERVED_USER_REQUESTS);
   private readonly times = { user: createHistogram(), report: createHistogram() };
 
@@ -72,6 +67,7 @@
     private readonly operator: Operator,
   ) {
     this.log = new Logger(platform.name);
+    this.sockets = socketBudget(platform.limits.sockets, platform.peers.length);
     this.state = new StateClient(platform);
     this.cloud = new CloudClient(platform);
     const rng = xoroshiro128plus((Date.now() ^ (process.pid << 16)) | 0);
@@ -108,11 +104,15 @@
   }
 
   start(): void {
-    const { sockets } = this.platform.limits;
-    const limits = { connections: Math.floor(sockets * 0.75), idleMs: 60_000, bodyBytes: 64 * 1024 };
+    const limits = {
+      connections: this.sockets.public,
+      idleMs: 60_000,
+      bodyBytes: 64 * 1024,
+      party: (q: HttpMessage) => (q.target === '/checkin' ? 'workers' : 'users'),
+    };
     const onPublic = httpConnections(limits, this.log, (q, reply) => void this.route(q, reply));
     this.listen(this.platform.publicAddr, onPublic);
-    const inside = { connections: 16, idleMs: 10_000, bodyBytes: 1024 };
+    const inside = { connections: STATUS_CONNECTIONS, idleMs: 10_000, bodyBytes: 1024 };
     const onStatus = httpConnections(inside, this.log, (q, reply) => reply(this.inspect(q)));
     // A frame's first byte is always 0, so a plain HTTP request for the status page is told apart by its first.
     this.listen(this.platform.internalAddr, (socket) => {
@@ -263,7 +263,7 @@
         return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
       }
       case 'hints':
-        if (isHints(q.images)) this.hints = q.images;
+        if (isHints(q.images)) this.hints.merge(q.images, performance.now());
         return {};
       case 'counts':
         return { counts: this.ownCounts(q.job as JobId) };
@@ -274,9 +274,10 @@
 
   /** A new leader finds out by reports what runs where, but not which images are cached: its peers tell it. */
   private shareHints(): void {
-    const images = this.loop?.core?.imageHints();
-    if (!images) return;
-    this.hints = images;
+    const all = this.loop?.core?.imageHints();
+    if (!all) return;
+    const images = this.hints.page(all);
+    this.hints.merge(images, performance.now());
     for (const link of this.links) void link.ask({ kind: 'hints', images }, 1000);
   }
 
@@ -334,7 +335,8 @@
       log,
       random,
       () => this.types,
-      this.hints,
+      this.hints.all(),
+      this.sockets.orders,
     );
     void this.loop.start();
   }
--- a/src/runtime/http-server.ts
+++ b/src/runtime/http-server.ts
@@ -14,8 +14,19 @@
   connections: number;
   idleMs: number;
   bodyBytes: number;
+  /** Who a connection belongs to, by its last request; the larger party is shed first. */
+  party?: (request: HttpMessage) => string;
 }
 
+interface Connection {
+  socket: Socket;
+  party: string;
+}
+
+/** From here on answers end their connections, so that more peers than there are sockets take turns. */
+const PRESSURE = 0.8;
+const UNKNOWN = '';
+
 const reasons: Record<number, string> = {
   200: 'OK',
   201: 'Created',
@@ -42,20 +53,86 @@
   return body ? Buffer.concat([Buffer.from(head, 'latin1'), body]) : Buffer.from(head, 'latin1');
 };
 
+/** Open connections, and which of them wait for a next request, in the order since when. */
+class Connections {
+  private readonly open = new Set<Connection>();
+  private readonly idle = new Set<Connection>();
+  private readonly parties = new Map<string, number>();
+
+  constructor(private readonly most: number) {}
+
+  get pressed(): boolean {
+    return this.open.size > this.most * PRESSURE;
+  }
+
+  get size(): number {
+    return this.open.size;
+  }
+
+  /**
+   * Guards against peers that open sockets without end: the state, cloud and peer links need some too. A new
+   * connection takes the place of the one that has been idle for longest, of the party that has the most.
+   */
+  enter(c: Connection): boolean {
+    if (this.open.size >= this.most) {
+      const longest = this.longestIdle();
+      if (!longest) return false;
+      this.leave(longest);
+      longest.socket.destroy();
+    }
+    this.open.add(c);
+    this.idle.add(c);
+    this.count(c.party, 1);
+    return true;
+  }
+
+  leave(c: Connection): void {
+    if (!this.open.delete(c)) return;
+    this.idle.delete(c);
+    this.count(c.party, -1);
+  }
+
+  begin(c: Connection, party: string): void {
+    this.idle.delete(c);
+    if (!this.open.has(c) || party === c.party) return;
+    this.count(c.party, -1);
+    this.count(party, 1);
+    c.party = party;
+  }
+
+  end(c: Connection): void {
+    if (this.open.has(c)) this.idle.add(c);
+  }
+
+  private count(party: string, by: number): void {
+    this.parties.set(party, (this.parties.get(party) ?? 0) + by);
+  }
+
+  private longestIdle(): Connection | null {
+    let longest: Connection | null = null;
+    for (const c of this.idle) {
+      if (longest && this.parties.get(c.party)! <= this.parties.get(longest.party)!) continue;
+      longest = c;
+    }
+    return longest;
+  }
+}
+
 /** One request at a time for each connection; later ones wait in the parser's buffer, which is bounded. */
 export const httpConnections = (
   limits: ServerLimits,
   log: Logger,
   handler: Handler,
 ): ((s: Socket) => void) => {
-  let open = 0;
+  const connections = new Connections(limits.connections);
   return (socket) => {
-    // Guards against peers that open sockets without end: the state, cloud and peer links need some too.
-    if (open >= limits.connections) {
+    const connection: Connection = { socket, party: UNKNOWN };
+    if (!connections.enter(connection)) {
+      log.limited('sockets', 'info', { open: connections.size }, 'connection refused, all are busy');
+      socket.on('error', () => socket.destroy());
       socket.destroy();
       return;
     }
-    open++;
     socket.setNoDelay(true);
     const parser = new HttpParser('request', {
       headerBytes: 8192,
@@ -68,19 +145,27 @@
     const next = (): void => {
       const request = waiting.shift();
       if (!request) {
+        connections.end(connection);
         socket.resume();
         return;
       }
       busy = true;
+      connections.begin(connection, limits.party?.(request) ?? UNKNOWN);
       let answered = false;
       handler(request, (r) => {
         if (answered) return;
         answered = true;
         busy = false;
         if (socket.destroyed) return;
-        socket.write(render(r, request.keepAlive));
-        if (!request.keepAlive) socket.end();
-        else next();
+        const keep = request.keepAlive && (!connections.pressed || waiting.length > 0);
+        socket.write(render(r, keep));
+        if (keep) {
+          next();
+          return;
+        }
+        ended = true;
+        socket.end();
+        connections.end(connection); // may be shed if the other side never closes it
       });
     };
     socket.on('data', (chunk) => {
@@ -103,8 +188,6 @@
       if (!busy) socket.destroy();
     });
     socket.on('error', () => socket.destroy());
-    socket.on('close', () => {
-      open--;
-    });
+    socket.on('close', () => connections.leave(connection));
   };
 };
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -1,14 +1,14 @@
 // Runs a core Leader: loads what the state service holds, carries out effects, feeds back their outcomes.
-import { HttpClient } from './http-client.js';
 import type { CloudClient } from './cloud-client.js';
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
 import { reserves, type StateClient } from './state-client.js';
-import { parseAddress, type Platform } from '../config/platform.js';
+import { WorkerCalls } from './worker-calls.js';
+import type { Platform } from '../config/platform.js';
 import type { Operator } from '../config/operator.js';
 import { Leader, type Effect, type ImageHints } from '../core/leader.js';
 import type { MachineType, Report } from '../core/types.js';
-import type { Counter, Endpoint, JobId, Steady, WallTime } from '../core/units.js';
+import type { Counter, JobId, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import * as wire from '../wire/state.js';
 import { ordersBody, parseReport } from '../wire/workers.js';
@@ -22,6 +22,9 @@
 const RENT_RETRY_MS = 1200;
 const TICK_PAUSES = 4;
 const MAX_PAUSE_MS = 500;
+/** Machines looked at in a cycle, by the part of a core that there is: about 15 ms of the controller's own time. */
+const CYCLE_WORK_OF_A_CORE = 600_000;
+const LEAST_CYCLE_WORK = 30_000;
 const TICK_LOG_MS = 10_000;
 
 export class LeaderLoop {
@@ -37,7 +40,7 @@
   private tickSumMs = 0;
   private ticksLoggedAt = 0;
   private readonly timers: NodeJS.Timeout[] = [];
-  private readonly workers = new Map<Endpoint, HttpClient>();
+  private readonly workers: WorkerCalls;
 
   constructor(
     private readonly platform: Platform,
@@ -49,7 +52,10 @@
     private readonly random: () => number,
     private readonly types: () => MachineType[],
     private readonly hints: ImageHints,
-  ) {}
+    orderSockets: number,
+  ) {
+    this.workers = new WorkerCalls(orderSockets);
+  }
 
   get core(): Leader | null {
     return this.leader;
@@ -71,6 +77,7 @@
         listLagS: this.platform.cloudLimits.listLagS,
         agingS: this.operator.agingS,
         rosterPage: wire.rosterPage(this.platform.stateLimits.valueKb),
+        cycleWork: Math.max(LEAST_CYCLE_WORK, this.platform.limits.cpu * CYCLE_WORK_OF_A_CORE),
         random: this.random,
       },
       startedAt,
@@ -96,7 +103,7 @@
     this.leader = leader;
     this.ledSince = steady();
     this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
-    this.timers.push(setInterval(() => this.tick(), this.operator.cycleMs));
+    this.timers.push(setInterval(() => this.soon(), this.operator.cycleMs));
     void this.watchJobs(jobs.ledger);
     void this.pollCloud();
   }
@@ -105,7 +112,7 @@
     this.ended = true;
     this.leader = null;
     for (const t of this.timers) clearInterval(t);
-    for (const w of this.workers.values()) w.close();
+    this.workers.close();
   }
 
   report(report: Report): ReturnType<Leader['onReport']> {
@@ -327,14 +334,8 @@
   }
 
   private async order(leader: Leader, e: Extract<Effect, { kind: 'orders' }>): Promise<void> {
-    let client = this.workers.get(e.endpoint);
-    if (!client) {
-      client = new HttpClient(parseAddress(e.endpoint), 2, 10_000, 1 << 20);
-      this.workers.set(e.endpoint, client);
-      if (this.workers.size > 400) this.dropWorkers(leader);
-    }
     const body = encode(ordersBody(leader.leadership.term, e.session, e.commands));
-    const r = await client.request('POST', '/orders', body, ORDER_TIMEOUT_MS);
+    const r = await this.workers.request(e.endpoint, '/orders', body, ORDER_TIMEOUT_MS);
     if (this.ended) return;
     if (!r.ok) {
       leader.onOrdersAnswer(e.machine, e.commands, { kind: r.sent ? 'unknown' : 'unsent' }, steady());
@@ -350,14 +351,4 @@
     }
     this.soon();
   }
-
-  /** Clients of machines that are gone. */
-  private dropWorkers(leader: Leader): void {
-    const live = new Set([...leader.machines.values()].map((m) => m.info.endpoint));
-    for (const [endpoint, client] of this.workers) {
-      if (live.has(endpoint)) continue;
-      client.close();
-      this.workers.delete(endpoint);
-    }
-  }
 }
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -11,7 +11,9 @@
 const ALIVE_MS = 2000;
 const REDIAL_MS = 500;
 const DIAL_TIMEOUT_MS = 1500;
-const MAX_OPEN = 256;
+/** Reports of a large cluster while the leader pauses for as long as a relay waits; about 1 KB each. */
+const MAX_OPEN = 1024;
+const GATHER_MS = 5;
 
 export interface PeerStatus {
   node: NodeName;
@@ -64,8 +66,26 @@
   }
 }
 
+/** Frames that come close together leave in one write: each write and each packet costs its processor time. */
+class Outbox {
+  private frames: Buffer[] = [];
+
+  constructor(private readonly socket: Socket) {}
+
+  push(f: Frame): void {
+    this.frames.push(frame(f));
+    if (this.frames.length > 1) return;
+    setTimeout(() => {
+      const all = this.frames;
+      this.frames = [];
+      if (!this.socket.destroyed) this.socket.write(all.length === 1 ? all[0]! : Buffer.concat(all));
+    }, GATHER_MS);
+  }
+}
+
 export const answerPeer = (socket: Socket, handle: (q: PeerRequest) => Promise<PeerResponse>): void => {
   const reader = new FrameReader();
+  const outbox = new Outbox(socket);
   let open = 0;
   socket.on('data', (chunk) => {
     const frames = reader.push(chunk);
@@ -75,12 +95,12 @@
     }
     for (const f of frames) {
       if (!f.q || typeof f.q !== 'object') continue;
-      if (open >= MAX_OPEN) continue; // a peer that asks faster than we answer is not answered
+      if (open >= MAX_OPEN && f.q.kind !== 'heartbeat') continue; // a peer that asks faster than we answer is not answered
       open++;
       const { i } = f;
       void handle(f.q).then((a) => {
         open--;
-        if (!socket.destroyed) socket.write(frame({ i, a }));
+        outbox.push({ i, a });
       });
     }
   });
@@ -89,6 +109,7 @@
 
 export class PeerLink {
   private socket: Socket | null = null;
+  private outbox: Outbox | null = null;
   private connected = false;
   private nextId = 1;
   private readonly waiting = new Map<number, (a: PeerResponse | null) => void>();
@@ -130,8 +151,9 @@
 
   ask(q: PeerRequest, timeoutMs: number): Promise<PeerResponse | null> {
     return new Promise((resolve) => {
-      const socket = this.socket;
-      if (!socket || !this.connected || this.waiting.size >= MAX_OPEN) {
+      const { outbox } = this;
+      // Heartbeats pass: a link full of other questions is not a dead one.
+      if (!outbox || !this.connected || (this.waiting.size >= MAX_OPEN && q.kind !== 'heartbeat')) {
         resolve(null);
         return;
       }
@@ -143,7 +165,7 @@
         resolve(a);
       };
       this.waiting.set(i, finish);
-      socket.write(frame({ i, q }));
+      outbox.push({ i, q });
     });
   }
 
@@ -167,6 +189,7 @@
   private dial(): void {
     const socket = connect({ ...this.peer.address, noDelay: true });
     this.socket = socket;
+    this.outbox = new Outbox(socket);
     const reader = new FrameReader();
     const timer = setTimeout(() => {
       if (!this.connected) socket.destroy();
--- /dev/null
+++ b/src/runtime/sockets.ts
@@ -0,0 +1,23 @@
+// One budget of sockets for all uses, derived from the platform's limit: no use can take what another needs.
+
+/** Files of the process itself, state service (calls, watches, lease), cloud, and some to spare. */
+const OWN = 80;
+/** Each peer dials us, we dial it, and old connections linger behind a cut. */
+const EACH_PEER = 4;
+/** Connections to our internal address that are not peers'. */
+export const STATUS_CONNECTIONS = 16;
+const ORDERS_SHARE = 0.15;
+const MOST_ORDERS = 128;
+
+export interface SocketBudget {
+  /** Workers and users together, on the public address. */
+  public: number;
+  /** Connections for orders sent straight to workers. */
+  orders: number;
+}
+
+export const socketBudget = (limit: number, peers: number): SocketBudget => {
+  const left = Math.max(16, limit - OWN - STATUS_CONNECTIONS - EACH_PEER * peers);
+  const orders = Math.max(4, Math.min(MOST_ORDERS, Math.floor(left * ORDERS_SHARE)));
+  return { public: left - orders, orders };
+};
--- a/src/runtime/state-client.ts
+++ b/src/runtime/state-client.ts
@@ -27,6 +27,8 @@
 export class StateClient {
   private readonly calls: HttpClient;
   private readonly watches: HttpClient;
+  /** A pool of its own: a leader whose other calls are slow or many must not lose its lease for want of a connection. */
+  private readonly leases: HttpClient;
   private readonly requests: Budget;
   private readonly writes: Budget;
   private share = 1 / 3;
@@ -38,6 +40,7 @@
   constructor(private readonly platform: Platform) {
     this.calls = new HttpClient(platform.state, 24, 20_000);
     this.watches = new HttpClient(platform.state, 4, 20_000);
+    this.leases = new HttpClient(platform.state, 3, 20_000);
     const now = performance.now();
     this.requests = new Budget(1, 1, now);
     this.writes = new Budget(1, 1, now);
@@ -133,18 +136,18 @@
   }
 
   async lease(ttlMs: number): Promise<Outcome<Counter>> {
-    const r = await this.calls.request('POST', '/leases', encode(wire.leaseBody(ttlMs)), TIMEOUT_MS);
+    const r = await this.leases.request('POST', '/leases', encode(wire.leaseBody(ttlMs)), TIMEOUT_MS);
     return this.outcome(r, wire.parseLease);
   }
 
   /** Renewals pass the budget by: nothing may starve them. */
   async extend(lease: Counter): Promise<Outcome<true>> {
-    const r = await this.calls.request('POST', `/leases/${lease}/extend`, null, TIMEOUT_MS);
+    const r = await this.leases.request('POST', `/leases/${lease}/extend`, null, TIMEOUT_MS);
     return this.outcome(r, () => true as const);
   }
 
   async endLease(lease: Counter): Promise<void> {
-    await this.calls.request('DELETE', `/leases/${lease}`, null, TIMEOUT_MS);
+    await this.leases.request('DELETE', `/leases/${lease}`, null, TIMEOUT_MS);
   }
 
   async watch(prefix: string, since: Counter, waitMs: number) {
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -203,6 +203,7 @@
         listLagS: 4,
         agingS: 90,
         rosterPage: 16,
+        cycleWork: 200_000,
         random: () => this.random(),
       },
       this.steady(),
