--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -11,6 +11,11 @@
 const ROSTER_TIDY_MS = 500;
 const TIDY_PAGES = 3;
 const SILENT_SHARE = 0.1;
+/** What is silent with many others is fenced after this part of cancel_s, and not before its lease is well over. */
+const MANY_CANCELS = 0.6;
+const MANY_LEASES = 1.6;
+/** A zone that is cut off, after this much of cancel_s. */
+const CUT_CANCELS = 1.2;
 
 export class Fleet {
   private readonly roster = new Roster();
@@ -102,7 +107,10 @@
   watchSilence(now: Steady, wall: WallTime): void {
     const { reportS, leaseS, cancelS } = this.state.settings.workers;
     const patience = Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
-    const longPatience = Math.max(patience, cancelS * 600);
+    const longPatience = Math.max(patience, cancelS * MANY_CANCELS * 1000, leaseS * MANY_LEASES * 1000);
+    // Behind a cut the machines are whole. What they held is mostly not placed elsewhere (a spread service may not be),
+    // and where its image is cached it starts again as soon as the cut ends: a fenced zone has to boot and fetch first.
+    const cutPatience = Math.max(longPatience, cancelS * CUT_CANCELS * 1000);
     // A cut silences a whole zone at one moment, but each machine is noticed at its own next report.
     const missed = (reportS * 1.25 * 1.5 + 0.5) * 1000;
     const silent: Machine[] = [];
@@ -120,15 +128,16 @@
     for (const n of total.values()) up += n;
     // Many at once, as after a takeover: it is the network or we that keep them silent. Fencing them all would
     // destroy a healthy fleet; those that are really gone are soon missing from the cloud's list.
+    this.state.cutZones.clear();
+    for (const [zone, n] of quiet) if (n >= 2 && n >= 0.5 * total.get(zone)!) this.state.cutZones.add(zone);
     const many = silent.length > Math.max(3, up * SILENT_SHARE);
     for (const m of silent) {
       if (m.leaving?.why === 'fence') continue;
-      const zone = m.info.zone;
       // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
-      const cut = quiet.get(zone)! >= 2 && quiet.get(zone)! >= 0.5 * total.get(zone)!;
+      const cut = this.state.cutZones.has(m.info.zone);
       const since = m.lastReportAt ?? this.state.startedAt;
       const overdue = this.holdsOverdueCancel(m, wall);
-      if ((!cut && !many) || overdue || now - since >= longPatience || m.unlisted)
+      if ((!cut && !many) || overdue || now - since >= (cut ? cutPatience : longPatience) || m.unlisted)
         this.fence(m, cut ? 'zone silent' : 'silent', now);
     }
   }
--- a/src/core/leader/queue.ts
+++ b/src/core/leader/queue.ts
@@ -36,7 +36,7 @@
       if (job.cancelled || job.finalizing || job.pendingCount === 0) continue;
       const idleMs = job.everRan ? now - job.waitingSince : wall - job.record.submittedAt;
       job.aged = job.placements.size === 0 && idleMs > this.state.settings.agingS * 1000;
-      if (job.inherited && this.state.blockers.size > 0) {
+      if (this.state.mayBeOnSilent(job)) {
         job.reason = { why: 'task may still run on a silent machine' };
       } else if (now < job.errorUntil) {
         job.reason = { why: 'back-off', until: job.errorUntil as Steady };
@@ -111,7 +111,7 @@
     for (const job of this.state.jobs.values()) {
       let tasks = job.placements.size;
       // Not located: an earlier leader may have started them on a machine that is still silent.
-      if (job.inherited && this.state.blockers.size > 0) tasks += job.pendingCount;
+      if (this.state.mayBeOnSilent(job)) tasks += job.pendingCount;
       if (tasks === 0) continue;
       const used = usage.get(job.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
       add(used, job.spec, tasks);
--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -3,12 +3,14 @@
 import { Machine, add } from '../cluster.js';
 import { Job } from '../job.js';
 import { capacityKey, planScaling, type RentOrder, type Want } from '../scaling.js';
-import type { Amounts } from '../types.js';
-import type { Endpoint, MachineId, Steady } from '../units.js';
+import { priorityRank, type Amounts } from '../types.js';
+import type { Endpoint, MachineId, Steady, Zone } from '../units.js';
 import type { Fleet } from './fleet.js';
 import type { LeaderState } from './state.js';
 
 const MAX_NEW_MACHINES = 60;
+/** Like the scheduler: so many reports missed, and nothing new goes to a machine. */
+const SILENT_REPORTS = 2.5;
 
 export class Renting {
   private readonly refusedUntil = new Map<string, Steady>();
@@ -58,13 +60,56 @@
     this.state.dirty = true;
   }
 
+  /**
+   * Urgent work on machines that have fallen silent: it may not start elsewhere before they are fenced, but the machines
+   * for it can boot meanwhile. Not for a zone that is cut off: most of what it holds is there again when the cut ends.
+   */
+  private replacements(silent: Machine[]): Want[] {
+    const lost = new Map<Job, Map<Zone, number>>();
+    for (const m of silent) {
+      if (this.state.cutZones.has(m.info.zone)) continue;
+      for (const { job } of m.placements.values()) {
+        if (job.cancelled || priorityRank[job.spec.priority] < priorityRank.high) continue;
+        const zones = lost.get(job) ?? new Map<Zone, number>();
+        zones.set(m.info.zone, (zones.get(m.info.zone) ?? 0) + 1);
+        lost.set(job, zones);
+      }
+    }
+    const wants: Want[] = [];
+    for (const [job, gone] of lost) {
+      const zones = this.state.zonesOf(job);
+      let tasks = 0;
+      for (const [zone, n] of gone) {
+        const left = (zones.get(zone) ?? 0) - n;
+        if (left > 0) zones.set(zone, left);
+        else zones.delete(zone);
+        tasks += n;
+      }
+      // A gang loses all of its tasks with one of them.
+      const gang = job.spec.kind === 'gang';
+      wants.push({
+        spec: job.spec,
+        tasks: gang ? job.spec.tasks : tasks,
+        zones: gang ? new Map() : zones,
+        expected: false,
+      });
+    }
+    return wants.sort((a, b) => priorityRank[b.spec.priority] - priorityRank[a.spec.priority]);
+  }
+
   scale(waiting: Job[], now: Steady): void {
     if (now - this.lastScale < 500 || this.state.types.length === 0) return;
     this.lastScale = now;
     const rooms: { machine: Machine; free: Amounts }[] = [];
+    const silent: Machine[] = [];
+    const silentMs = this.state.settings.workers.reportS * SILENT_REPORTS * 1000;
     for (const m of this.state.machines.values()) {
       if (!m.type || m.leaving || m.sick || m.noticeAt !== null) continue;
       if (m.up && !m.settled) continue;
+      if (m.up && m.lastReportAt !== null && now - m.lastReportAt > silentMs) {
+        silent.push(m); // nothing is placed there
+        continue;
+      }
       const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
       add(free, m.used(this.state.specOf), -1);
       rooms.push({ machine: m, free });
@@ -75,6 +120,7 @@
       zones: this.state.zonesOf(job),
       expected: false,
     }));
+    wants.unshift(...this.replacements(silent));
     for (const e of this.arrivals.expected(this.state.types, this.state.settings.headroom, now)) {
       wants.push({ spec: e.spec, tasks: e.tasks, zones: new Map(), expected: true });
     }
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -1,5 +1,6 @@
 // Shared by the parts of the leader; stopping and releasing of placements.
-import { Machine } from '../cluster.js';
+import { Machine, fits } from '../cluster.js';
+import { mayRunOn } from '../scheduler.js';
 import { Job, type Placement } from '../job.js';
 import type { Amounts, Leadership, MachineInfo, MachineType } from '../types.js';
 import type { JobId, MachineId, Steady, Zone } from '../units.js';
@@ -15,6 +16,8 @@
   /** Machines whose return was answered: lists lag and go on showing them for a while. */
   readonly gone = new Map<MachineId, Steady>();
   readonly pokes = new Set<Machine>();
+  /** Zones of which half or more is silent. */
+  readonly cutZones = new Set<Zone>();
   effects: Effect[] = [];
   dirty = true;
   news = true;
@@ -28,6 +31,34 @@
     readonly startedAt: Steady,
   ) {}
 
+  /**
+   * Whether a task of the job may be on a machine that has not reported under our token: an earlier leader has started
+   * it only where the job's types, zones and kinds of machine allow, and a record's description never changes.
+   */
+  mayBeOnSilent(job: Job): boolean {
+    if (!job.inherited || this.blockers.size === 0) return false;
+    return this.blockerKinds().some(
+      ({ info, type }) =>
+        mayRunOn(job.spec, info.type, info.zone, info.spot) && (type === undefined || fits(job.spec, type)),
+    );
+  }
+
+  /** Blockers only leave, so their number tells whether the list still holds. */
+  private kinds: { of: number; list: Machine[] } | null = null;
+
+  /** One silent machine of each type, zone and kind. */
+  private blockerKinds(): Machine[] {
+    const key = (m: Machine): string => `${m.info.type}|${m.info.zone}|${m.info.spot}`;
+    if (this.kinds && this.kinds.of === this.blockers.size) return this.kinds.list;
+    const byKind = new Map<string, Machine>();
+    for (const id of this.blockers) {
+      const m = this.machines.get(id);
+      if (m) byKind.set(key(m), m);
+    }
+    this.kinds = { of: this.blockers.size, list: [...byKind.values()] };
+    return this.kinds.list;
+  }
+
   takeEffects(): Effect[] {
     const out = this.effects;
     this.effects = [];
