--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -23,6 +23,8 @@
   private lastRoster = -Infinity;
   private lastTidy = -Infinity;
   private lastReturn = -Infinity;
+  /** When many machines were last silent together. */
+  private manyAt = -Infinity;
 
   constructor(private readonly state: LeaderState) {}
 
@@ -128,9 +130,16 @@
     for (const n of total.values()) up += n;
     // Many at once, as after a takeover: it is the network or we that keep them silent. Fencing them all would
     // destroy a healthy fleet; those that are really gone are soon missing from the cloud's list.
-    this.state.cutZones.clear();
-    for (const [zone, n] of quiet) if (n >= 2 && n >= 0.5 * total.get(zone)!) this.state.cutZones.add(zone);
-    const many = silent.length > Math.max(3, up * SILENT_SHARE);
+    // When it ends, the last machines to be heard again are few: they still get time to find a controller.
+    const backMs = reportS * 2500 + 5000;
+    for (const [zone, n] of quiet)
+      if (n >= 2 && n >= 0.5 * total.get(zone)!) this.state.cutZones.set(zone, now);
+    for (const [zone, at] of this.state.cutZones) if (now - at > backMs) this.state.cutZones.delete(zone);
+    // All that missed reports count, not only those whose patience is over: else the first tenth of them is fenced.
+    let missing = 0;
+    for (const n of quiet.values()) missing += n;
+    if (missing > Math.max(3, up * SILENT_SHARE)) this.manyAt = now;
+    const many = now - this.manyAt <= backMs;
     for (const m of silent) {
       if (m.leaving?.why === 'fence') continue;
       // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
--- a/src/core/leader/reports.ts
+++ b/src/core/leader/reports.ts
@@ -153,8 +153,7 @@
   /** What an answer with authority was given to; a worker that none of them reaches is deaf. */
   private noteAnswered(m: Machine, now: Steady): void {
     // After a silence the count begins anew: what arrives then may have been held back by the network for long.
-    const gapMs = ANSWER_LIMIT_MS + this.state.settings.workers.reportS * 1500 + 1500;
-    if (m.answeredAt === null || now - m.answeredAt > gapMs) m.answeredSince = now;
+    if (!this.answeredLately(m, now)) m.answeredSince = now;
     m.answeredAt = now;
     // Reports go on arriving, yet the token that every answer carries has not been taken over.
     if (!m.settled && this.answeredForMs(m) > this.state.settings.workers.leaseS * DEAF_LEASES * 1000) {
@@ -162,6 +161,11 @@
     }
   }
 
+  private answeredLately(m: Machine, now: Steady): boolean {
+    const gapMs = ANSWER_LIMIT_MS + this.state.settings.workers.reportS * 1500 + 1500;
+    return m.answeredAt !== null && now - m.answeredAt <= gapMs;
+  }
+
   private answeredForMs(m: Machine): number {
     return m.answeredAt === null || m.answeredSince === null ? 0 : m.answeredAt - m.answeredSince;
   }
@@ -218,7 +222,9 @@
     m.unreapable.clear();
     m.unheeded = 0;
     // Its lease ran out although its reports were answered all the while: none of the answers reached it.
-    if (this.answeredForMs(m) > this.state.settings.workers.leaseS * 900) this.deaf(m, 'lease ran out', now);
+    // Not so after a silence: a cut that ends brings the new session first, with nothing held back before it.
+    if (this.answeredLately(m, now) && this.answeredForMs(m) > this.state.settings.workers.leaseS * 900)
+      this.deaf(m, 'lease ran out', now);
     m.answeredAt = null;
     m.answeredSince = null;
     this.state.log('info', { machine: m.id, tasks: m.placements.size }, 'worker session ended, tasks lost');
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -16,8 +16,8 @@
   /** Machines whose return was answered: lists lag and go on showing them for a while. */
   readonly gone = new Map<MachineId, Steady>();
   readonly pokes = new Set<Machine>();
-  /** Zones of which half or more is silent. */
-  readonly cutZones = new Set<Zone>();
+  /** Zones of which half or more was silent a moment ago, and when. */
+  readonly cutZones = new Map<Zone, Steady>();
   effects: Effect[] = [];
   dirty = true;
   news = true;
--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -266,8 +266,13 @@
   assert.equal(day.leader!.jobs.get('wk-1' as JobId)!.runningCount, 4);
 });
 
-test('reports that a cut held back do not make a machine deaf', () => {
-  // Found on the bench: 13 healthy machines were fenced when a cut longer than the lease ended.
+for (const lost of [false, true]) {
+  const how = lost ? 'lost' : 'held back';
+  // Found on the bench, twice: healthy machines were fenced when a cut longer than the lease ended.
+  test(`reports that a cut ${how} do not make a machine deaf`, () => cutLongerThanTheLease(lost));
+}
+
+const cutLongerThanTheLease = (lost: boolean): void => {
   const day = new Day(15);
   const live = { kind: 'service', tasks: 12, estimateS: 0, priority: 'production', imageGb: 1 } as const;
   day.submit(jobSpec('wk-1', live));
@@ -278,11 +283,11 @@
   const held = workers.map((w) => w.report());
   for (const w of workers) w.cut = true;
   day.clock.runUntil(74_000);
-  for (const report of held) day.leader!.onReport(report, day.clock.now as Steady);
+  if (!lost) for (const report of held) day.leader!.onReport(report, day.clock.now as Steady);
   for (const w of workers) w.cut = false;
   day.clock.runUntil(80_000);
   assert.ok(busy.every((w) => w.session === 2 && day.leader!.machines.get(w.info.id)?.leaving === null));
-});
+};
 
 test('a new leader places by the caches that the leader before it knew', () => {
   const day = new Day(6);
