--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -287,6 +287,11 @@
   for (const w of workers) w.cut = false;
   day.clock.runUntil(80_000);
   assert.ok(busy.every((w) => w.session === 2 && day.leader!.machines.get(w.info.id)?.leaving === null));
+  // Nor is one fenced as the last that are silent, while the others are heard again.
+  assert.deepEqual(
+    day.trace.filter((l) => l.includes('fenced')),
+    [],
+  );
 };
 
 test('a new leader places by the caches that the leader before it knew', () => {
