--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -1,6 +1,6 @@
 // Shared by the parts of the leader; stopping and releasing of placements.
 import { Machine, fits } from '../cluster.js';
-import { mayRunOn } from '../scheduler.js';
+import { mayRunOn } from '../scheduler/rules.js';
 import { Job, type Placement } from '../job.js';
 import type { Amounts, Leadership, MachineInfo, MachineType } from '../types.js';
 import type { JobId, MachineId, Steady, Zone } from '../units.js';
--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -1,6 +1,6 @@
 // How many machines of which type, zone and kind the waiting and the expected work needs.
 import { add, fits, type Machine } from './cluster.js';
-import { mayRunOn } from './scheduler.js';
+import { mayRunOn } from './scheduler/rules.js';
 import type { Amounts, JobSpec, MachineType } from './types.js';
 import type { MachineId, Steady, TypeName, Zone } from './units.js';
 
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -2,42 +2,12 @@
 // stopped only after a complete placement (docs/design.md).
 import { add, fits, type Machine } from './cluster.js';
 import type { Job, Placement } from './job.js';
+import { mayRunOn, signature, withinLimit } from './scheduler/rules.js';
+import { Ranking, fetchS, freeIn, slotOf, type Slot } from './scheduler/slot.js';
+import { victimsOn, type Found, type Nomination, type Victim, type Victims } from './scheduler/victims.js';
 import { priorityRank, type Amounts, type JobSpec, type TeamLimits } from './types.js';
 import type { JobId, MachineId, Steady, Team, TypeName, Zone } from './units.js';
 
-interface Victim {
-  job: Job;
-  placement: Placement;
-}
-
-interface Slot {
-  machine: Machine;
-  free: Amounts;
-  /** Room that tasks already told to stop will leave. */
-  releasing: Amounts;
-  /** Room that tasks ending here will leave to jobs that wait for it. */
-  promised: Amounts;
-  /** Images being fetched here, with their sizes: they share the rate. */
-  fetching: Map<string, number>;
-  /** Expected seconds until a booting machine is up; 0 when it is. */
-  readyInS: number;
-  empty: boolean;
-  /** Kept free for a group that has waited long. */
-  heldFor: Job | null;
-  /** Something here was told to stop. */
-  leaving: boolean;
-  /** By priority: what tasks of lower ones take that were not told to stop when the cycle began. */
-  below: readonly (Amounts | null)[];
-  /** Counts changes of what is free or nominated here. */
-  version: number;
-}
-
-/** What was found for a group on a machine, as of the machine's version then. */
-interface Found {
-  version: number;
-  victims: { list: Victim[]; cost: number } | null;
-}
-
 export interface Assumed {
   job: Job;
   index: number;
@@ -71,12 +41,6 @@
   suits: (spec: JobSpec, type: TypeName) => number;
 }
 
-interface Nomination {
-  slot: Slot;
-  list: Victim[];
-  cost: number;
-}
-
 const anybody = (): boolean => true;
 const MAX_HOLDS = 8;
 const EMPTY: Map<Zone, number> = new Map();
@@ -88,29 +52,6 @@
 const SLOWS_OTHERS = 0.3;
 const ORDINARY_FOR_SPOT_S = 8;
 
-export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
-  (spec.types === null || spec.types.some((t) => t === type)) &&
-  (spec.zone === null || spec.zone === zone) &&
-  (spec.spot || !spot);
-
-export const withinLimit = (
-  spec: Amounts,
-  used: Amounts | undefined,
-  limit: TeamLimits | undefined,
-): boolean => {
-  if (!limit) return false;
-  const cpus = (used?.cpus ?? 0) + spec.cpus;
-  const gpus = (used?.gpus ?? 0) + spec.gpus;
-  return (
-    (limit.cpusMax === 0 || cpus <= limit.cpusMax + 1e-6) &&
-    (limit.gpusMax === 0 || gpus <= limit.gpusMax + 1e-6)
-  );
-};
-
-/** Tasks with the same signature get the same answer from the filter, so a failure is asked for once a cycle. */
-const signature = (s: JobSpec): string =>
-  `${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types?.join(',') ?? ''}|${s.zone ?? ''}|${s.spot}|${s.priority}`;
-
 const zonesOf = (job: Job, machines: Map<MachineId, Machine>): Map<Zone, number> => {
   const zones = new Map<Zone, number>();
   for (const p of job.placements.values()) {
@@ -120,54 +61,6 @@
   return zones;
 };
 
-/** By the type's nominal time; a machine well past it is not counted on. */
-const bootLeftS = (m: Machine, now: Steady): number => {
-  const bootS = m.type!.bootS;
-  const leftS = bootS - (now - m.rentedAt) / 1000;
-  if (leftS > 1) return leftS;
-  return leftS > -0.5 * bootS ? Math.max(1, bootS * 0.1) : Infinity;
-};
-
-/**
- * Scores of the machines that a group's members may go to, kept while its like members are placed one after the
- * other: a placement changes one machine, so only that one is scored again (the paper's opportunistic batching).
- */
-class Ranking {
-  private readonly scores: Float64Array;
-
-  constructor(
-    private readonly slots: Slot[],
-    private readonly score: (slot: Slot) => number,
-  ) {
-    this.scores = new Float64Array(slots.length).fill(NaN);
-  }
-
-  best(allowed: (slot: Slot) => boolean): Slot | null {
-    let best = -1;
-    let bestScore = Infinity;
-    for (let i = 0; i < this.slots.length; i++) {
-      let score = this.scores[i]!;
-      if (score >= bestScore) continue;
-      const slot = this.slots[i]!;
-      if (!allowed(slot)) continue;
-      if (Number.isNaN(score)) this.scores[i] = score = this.score(slot);
-      if (score >= bestScore) continue;
-      best = i;
-      bestScore = score;
-    }
-    return best < 0 ? null : this.slots[best]!;
-  }
-
-  get size(): number {
-    return this.slots.length;
-  }
-
-  /** Room was taken on this machine: it is scored again. */
-  changed(slot: Slot): void {
-    this.scores[this.slots.indexOf(slot)] = NaN;
-  }
-}
-
 class Cycle {
   private readonly slots: Slot[] = [];
   private readonly booting: Slot[] = [];
@@ -191,7 +84,7 @@
   readonly result: CycleResult = { placed: [], victims: [], unplaced: [], unfinished: [], work: 0 };
 
   constructor(private readonly input: CycleInput) {
-    for (const m of input.machines.values()) this.addSlot(m);
+    for (const m of input.machines.values()) this.add(m);
     for (const [team, used] of input.usage) this.usage.set(team, { ...used });
     // Room only shrinks within a cycle, so what is full now is not looked at again.
     const least = { cpus: Infinity, gpus: Infinity, memoryGb: Infinity };
@@ -213,31 +106,9 @@
     return this.result;
   }
 
-  private addSlot(m: Machine): void {
-    if (!m.type) return;
-    const readyInS = m.up ? 0 : bootLeftS(m, this.input.now);
-    if (m.up ? !m.schedulable : readyInS === Infinity || m.leaving !== null) return;
-    // A silent machine may be gone: nothing new goes there.
-    if (m.lastReportAt !== null && this.input.now - m.lastReportAt > this.input.silentMs) return;
-    const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
-    add(free, m.used(this.input.specOf), -1);
-    const load = m.load();
-    const releasing = { ...load.releasing };
-    const fetching = new Map(load.fetching);
-    const promised = { cpus: 0, gpus: 0, memoryGb: 0 };
-    const slot: Slot = {
-      machine: m,
-      free,
-      releasing,
-      promised,
-      fetching,
-      readyInS,
-      empty: !m.busy,
-      heldFor: null,
-      leaving: load.leaving,
-      below: load.below,
-      version: 0,
-    };
+  private add(m: Machine): void {
+    const slot = slotOf(m, this.input);
+    if (!slot) return;
     if (!m.up) {
       this.booting.push(slot);
       return;
@@ -325,7 +196,11 @@
     for (const zone of zones) {
       const ends = this.slots
         .filter((s) => this.allowed(job, s, EMPTY, zone))
-        .map((slot) => ({ slot, kept: job.held.has(slot.machine.id), atS: this.freeIn(job.spec, slot) }))
+        .map((slot) => ({
+          slot,
+          kept: job.held.has(slot.machine.id),
+          atS: freeIn(job.spec, slot, this.input.now),
+        }))
         .filter((e) => e.atS < Infinity)
         // Those held already first: expectations change, and what is half drained must not be given up for others.
         .sort((a, b) => Number(b.kept) - Number(a.kept) || a.atS - b.atS)
@@ -459,26 +334,16 @@
     return best;
   }
 
-  private fetchS(spec: JobSpec, slot: Slot): number {
-    if (slot.machine.hasImage(spec.image)) return 0;
-    const rate = slot.machine.type!.fetchGbPerS;
-    let others = 0;
-    for (const gb of slot.fetching.values()) others += gb;
-    // Under way already: what is left of it isn't known, so a part of the whole.
-    if (slot.fetching.has(spec.image)) return (0.7 * others) / rate;
-    return Math.min(spec.imageGb * (slot.fetching.size + 1), spec.imageGb + others) / rate;
-  }
-
   /** Rather than a second fetch beside a running one: a machine that is about to be up, and fetches this alone. */
   private betterBoot(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
     const { spec } = job;
     if (slot.machine.hasImage(spec.image) || slot.fetching.has(spec.image) || slot.fetching.size === 0)
       return false;
     let best: Slot | null = null;
-    let bestS = this.fetchS(spec, slot);
+    let bestS = fetchS(spec, slot);
     for (const boot of this.booting) {
       if (!fits(spec, boot.free) || !this.allowed(job, boot, zones, null)) continue;
-      const s = boot.readyInS + this.fetchS(spec, boot);
+      const s = boot.readyInS + fetchS(spec, boot);
       if (s >= bestS) continue;
       best = boot;
       bestS = s;
@@ -496,12 +361,12 @@
    */
   private warmVictims(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
     if (job.spec.kind !== 'service') return false;
-    const fetchS = this.fetchS(job.spec, slot);
-    if (fetchS < WORTH_PREEMPTING_S) return false;
+    const coldS = fetchS(job.spec, slot);
+    if (coldS < WORTH_PREEMPTING_S) return false;
     const found = this.nominateWarm(
       job,
       zones,
-      (v) => v.job.spec.checkpointS > 0 && v.job.spec.saveS < fetchS / 2 && v.job.spec.kind === 'array',
+      (v) => v.job.spec.checkpointS > 0 && v.job.spec.saveS < coldS / 2 && v.job.spec.kind === 'array',
     );
     if (!found) return false;
     this.result.victims.push(...found.list);
@@ -516,12 +381,12 @@
    */
   private betterWait(job: Job, slot: Slot, zones: Map<Zone, number>): boolean {
     this.work += this.slots.length;
-    const fetchS = this.fetchS(job.spec, slot);
-    if (fetchS < WORTH_WAITING_S || job.spec.kind === 'service') return false;
+    const coldS = fetchS(job.spec, slot);
+    if (coldS < WORTH_WAITING_S || job.spec.kind === 'service') return false;
     for (const other of this.slots) {
       if (!other.machine.hasImage(job.spec.image) || !this.allowed(job, other, zones, null)) continue;
-      const freeS = this.freeIn(job.spec, other);
-      if (freeS > fetchS * WAIT_SHARE) continue;
+      const freeS = freeIn(job.spec, other, this.input.now);
+      if (freeS > coldS * WAIT_SHARE) continue;
       add(other.promised, job.spec);
       job.reason = { why: 'waiting for a machine with its image', expectedS: Math.round(freeS) };
       return true;
@@ -529,31 +394,10 @@
     return false;
   }
 
-  /** Expected seconds until there is room, by the owners' estimates, after those who wait here already. */
-  private freeIn(spec: JobSpec, slot: Slot): number {
-    const room = { ...slot.free };
-    add(room, slot.promised, -1);
-    if (fits(spec, room)) return 0;
-    const ends: { at: number; spec: JobSpec }[] = [];
-    for (const { job, placement: p } of slot.machine.placements.values()) {
-      if (job.spec.kind === 'service') continue;
-      const ranS = p.runningSince === null ? 0 : (this.input.now - p.runningSince) / 1000;
-      // Past its estimate, a task is taken to need another third of it.
-      const left = p.stop ? job.spec.saveS : Math.max(job.spec.estimateS - ranS, job.spec.estimateS / 3);
-      ends.push({ at: left, spec: job.spec });
-    }
-    ends.sort((a, b) => a.at - b.at);
-    for (const e of ends) {
-      add(room, e.spec);
-      if (fits(spec, room)) return e.at;
-    }
-    return Infinity;
-  }
-
   /** Expected seconds until the task can start, plus what it costs to use up this machine's room. */
   private score(spec: JobSpec, slot: Slot): number {
     const type = slot.machine.type!;
-    let score = this.fetchS(spec, slot);
+    let score = fetchS(spec, slot);
     if (!slot.machine.hasImage(spec.image) && !slot.fetching.has(spec.image)) {
       score += (SLOWS_OTHERS * slot.fetching.size * spec.imageGb) / type.fetchGbPerS;
     }
@@ -611,7 +455,7 @@
       let found = bySlot.get(slot);
       if (found?.version !== slot.version) {
         found = { version: slot.version, victims: this.victimsOn(job, slot, anybody) };
-        if (found.victims) found.victims.cost += this.fetchS(job.spec, slot);
+        if (found.victims) found.victims.cost += fetchS(job.spec, slot);
         bySlot.set(slot, found);
       }
       const { victims } = found;
@@ -655,45 +499,9 @@
     return slots;
   }
 
-  private victimsOn(
-    job: Job,
-    slot: Slot,
-    whom: (victim: Victim) => boolean,
-  ): { list: Victim[]; cost: number } | null {
-    const room = { ...slot.free };
-    add(room, slot.releasing);
-    if (fits(job.spec, room)) return { list: [], cost: 0 };
-    const rank = priorityRank[job.spec.priority];
-    // Most machines hold too little that may be stopped: told by sums, without looking at their tasks.
-    const most = slot.below[rank];
-    if (!most) return null;
-    add(room, most);
-    if (!fits(job.spec, room)) return null;
-    add(room, most, -1);
-    const candidates: (Victim & { loss: number })[] = [];
-    for (const c of slot.machine.placements.values()) {
-      this.work++;
-      if (priorityRank[c.job.spec.priority] >= rank) continue;
-      if (c.placement.shielded || c.placement.stop || this.stopping.has(c.placement) || !whom(c)) continue;
-      candidates.push({ ...c, loss: this.loss(c) });
-    }
-    candidates.sort((a, b) => a.loss - b.loss);
-    const list: Victim[] = [];
-    let cost = 0;
-    for (const c of candidates) {
-      list.push(c);
-      cost += c.loss + 1;
-      add(room, c.job.spec);
-      if (fits(job.spec, room)) return { list, cost };
-    }
-    return null;
-  }
-
-  /** Seconds of work that stopping loses, with lower priorities well before higher ones. */
-  private loss(v: Victim): number {
-    const ran = v.placement.runningSince === null ? 0 : (this.input.now - v.placement.runningSince) / 1000;
-    const lost = v.job.spec.checkpointS > 0 ? Math.min(ran, v.job.spec.saveS) : ran;
-    return lost + 1000 * priorityRank[v.job.spec.priority];
+  private victimsOn(job: Job, slot: Slot, whom: (victim: Victim) => boolean): Victims | null {
+    this.work += slot.machine.placements.size;
+    return victimsOn(job, slot, (v) => !this.stopping.has(v.placement) && whom(v), this.input.now);
   }
 
   private teamAllows(job: Job, tasks: number): boolean {
--- /dev/null
+++ b/src/core/scheduler/slot.ts
@@ -0,0 +1,138 @@
+// One machine in a cycle's snapshot: what is free, leaving and being fetched, and when something could start there.
+import { add, fits, type Machine } from '../cluster.js';
+import type { Job } from '../job.js';
+import type { Amounts, JobSpec } from '../types.js';
+import type { JobId, Steady } from '../units.js';
+
+export interface Slot {
+  machine: Machine;
+  free: Amounts;
+  /** Room that tasks already told to stop will leave. */
+  releasing: Amounts;
+  /** Room that tasks ending here will leave to jobs that wait for it. */
+  promised: Amounts;
+  /** Images being fetched here, with their sizes: they share the rate. */
+  fetching: Map<string, number>;
+  /** Expected seconds until a booting machine is up; 0 when it is. */
+  readyInS: number;
+  empty: boolean;
+  /** Kept free for a group that has waited long. */
+  heldFor: Job | null;
+  /** Something here was told to stop. */
+  leaving: boolean;
+  /** By priority: what tasks of lower ones take that were not told to stop when the cycle began. */
+  below: readonly (Amounts | null)[];
+  /** Counts changes of what is free or nominated here. */
+  version: number;
+}
+
+/** By the type's nominal time; a machine well past it is not counted on. */
+const bootLeftS = (m: Machine, now: Steady): number => {
+  const bootS = m.type!.bootS;
+  const leftS = bootS - (now - m.rentedAt) / 1000;
+  if (leftS > 1) return leftS;
+  return leftS > -0.5 * bootS ? Math.max(1, bootS * 0.1) : Infinity;
+};
+
+/**
+ * Scores of the machines that a group's members may go to, kept while its like members are placed one after the
+ * other: a placement changes one machine, so only that one is scored again (the paper's opportunistic batching).
+ */
+export class Ranking {
+  private readonly scores: Float64Array;
+
+  constructor(
+    private readonly slots: Slot[],
+    private readonly score: (slot: Slot) => number,
+  ) {
+    this.scores = new Float64Array(slots.length).fill(NaN);
+  }
+
+  best(allowed: (slot: Slot) => boolean): Slot | null {
+    let best = -1;
+    let bestScore = Infinity;
+    for (let i = 0; i < this.slots.length; i++) {
+      let score = this.scores[i]!;
+      if (score >= bestScore) continue;
+      const slot = this.slots[i]!;
+      if (!allowed(slot)) continue;
+      if (Number.isNaN(score)) this.scores[i] = score = this.score(slot);
+      if (score >= bestScore) continue;
+      best = i;
+      bestScore = score;
+    }
+    return best < 0 ? null : this.slots[best]!;
+  }
+
+  get size(): number {
+    return this.slots.length;
+  }
+
+  /** Room was taken on this machine: it is scored again. */
+  changed(slot: Slot): void {
+    this.scores[this.slots.indexOf(slot)] = NaN;
+  }
+}
+
+export interface SlotInput {
+  specOf: (job: JobId) => Amounts | null;
+  now: Steady;
+  silentMs: number;
+}
+
+/** Null for a machine that nothing can be placed on, now or once it is up. */
+export const slotOf = (m: Machine, input: SlotInput): Slot | null => {
+  if (!m.type) return null;
+  const readyInS = m.up ? 0 : bootLeftS(m, input.now);
+  if (m.up ? !m.schedulable : readyInS === Infinity || m.leaving !== null) return null;
+  // A silent machine may be gone: nothing new goes there.
+  if (m.lastReportAt !== null && input.now - m.lastReportAt > input.silentMs) return null;
+  const free = { cpus: m.type.cpus, gpus: m.type.gpus, memoryGb: m.type.memoryGb };
+  add(free, m.used(input.specOf), -1);
+  const load = m.load();
+  return {
+    machine: m,
+    free,
+    releasing: { ...load.releasing },
+    promised: { cpus: 0, gpus: 0, memoryGb: 0 },
+    fetching: new Map(load.fetching),
+    readyInS,
+    empty: !m.busy,
+    heldFor: null,
+    leaving: load.leaving,
+    below: load.below,
+    version: 0,
+  };
+};
+
+/** Expected seconds of fetching before the task could start here. */
+export const fetchS = (spec: JobSpec, slot: Slot): number => {
+  if (slot.machine.hasImage(spec.image)) return 0;
+  const rate = slot.machine.type!.fetchGbPerS;
+  let others = 0;
+  for (const gb of slot.fetching.values()) others += gb;
+  // Under way already: what is left of it isn't known, so a part of the whole.
+  if (slot.fetching.has(spec.image)) return (0.7 * others) / rate;
+  return Math.min(spec.imageGb * (slot.fetching.size + 1), spec.imageGb + others) / rate;
+};
+
+/** Expected seconds until there is room, by the owners' estimates, after those who wait here already. */
+export const freeIn = (spec: JobSpec, slot: Slot, now: Steady): number => {
+  const room = { ...slot.free };
+  add(room, slot.promised, -1);
+  if (fits(spec, room)) return 0;
+  const ends: { at: number; spec: JobSpec }[] = [];
+  for (const { job, placement: p } of slot.machine.placements.values()) {
+    if (job.spec.kind === 'service') continue;
+    const ranS = p.runningSince === null ? 0 : (now - p.runningSince) / 1000;
+    // Past its estimate, a task is taken to need another third of it.
+    const left = p.stop ? job.spec.saveS : Math.max(job.spec.estimateS - ranS, job.spec.estimateS / 3);
+    ends.push({ at: left, spec: job.spec });
+  }
+  ends.sort((a, b) => a.at - b.at);
+  for (const e of ends) {
+    add(room, e.spec);
+    if (fits(spec, room)) return e.at;
+  }
+  return Infinity;
+};
--- a/src/core/suitability.ts
+++ b/src/core/suitability.ts
@@ -1,5 +1,5 @@
 // Which machine types suit which class: a task that is as well off on either leaves the one that others need.
-import { mayRunOn } from './scheduler.js';
+import { mayRunOn } from './scheduler/rules.js';
 import { perMachine } from './scaling.js';
 import type { JobSpec, MachineType } from './types.js';
 import type { TypeName } from './units.js';
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -4,7 +4,7 @@
 import type { HttpReply } from './http-server.js';
 import { reserves, type StateClient } from './state-client.js';
 import type { Platform } from '../config/platform.js';
-import { withinLimit } from '../core/scheduler.js';
+import { withinLimit } from '../core/scheduler/rules.js';
 import { fitsSomeType } from '../core/scaling.js';
 import type { FinalRecord, JobRecord, JobSpec, MachineType, TeamLimits } from '../core/types.js';
 import type { JobId, Stamp, Team, WallTime } from '../core/units.js';
