--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -2,6 +2,7 @@
 import type { CloudClient } from './cloud-client.js';
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
+import { ProgressStore } from './progress-store.js';
 import { reserves, type StateClient } from './state-client.js';
 import { WorkerCalls } from './worker-calls.js';
 import type { Platform } from '../config/platform.js';
@@ -41,6 +42,7 @@
   private ticksLoggedAt = 0;
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly workers: WorkerCalls;
+  private readonly progressStore: ProgressStore;
 
   constructor(
     private readonly platform: Platform,
@@ -55,6 +57,10 @@
     orderSockets: number,
   ) {
     this.workers = new WorkerCalls(orderSockets);
+    this.progressStore = new ProgressStore(
+      (then, conditions) => this.write(then, conditions, reserves.normal),
+      (key) => this.state.get(key, reserves.urgent),
+    );
   }
 
   get core(): Leader | null {
@@ -97,6 +103,7 @@
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
     for (const item of progress.items) {
       const [, id, chunk] = item.key.split('/');
+      this.progressStore.loaded(item.key, item.stamp);
       const bits = wire.parseProgress(item.data);
       if (bits !== null) leader.loadProgress(id as JobId, Number(chunk), Buffer.from(bits, 'base64'));
     }
@@ -291,6 +298,7 @@
     );
     if (this.ended) return;
     if (r.kind === 'ok') {
+      this.progressStore.drop(e.job, e.chunks);
       leader.onFinished(e.job, { kind: 'ok' }, steady());
       this.soon();
     } else if (r.kind === 'conflict') {
@@ -313,8 +321,8 @@
   }
 
   private async progress(leader: Leader, e: Extract<Effect, { kind: 'progress' }>): Promise<void> {
-    const data = { bits: Buffer.from(e.bytes).toString('base64') };
-    const r = await this.write([{ put: wire.keys.progress(e.job, e.chunk), data }], [], reserves.normal);
+    const r = await this.progressStore.put(e.job, e.chunk, e.bytes);
+    if (r.kind === 'changed') leader.loadProgress(e.job, e.chunk, r.bytes);
     leader.onProgress(e.job, e.chunk, e.bytes, r.kind === 'ok');
   }
 
--- /dev/null
+++ b/src/test/progress-store.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ProgressStore } from '../runtime/progress-store.js';
+import type { JobId } from '../core/units.js';
+import type { Change, Condition } from '../wire/state.js';
+
+const job = 'wk-1' as JobId;
+const bits = (n: number): Uint8Array => Uint8Array.of(n);
+
+/** A state service with one key, whose next answer may be lost while the request waits in the network. */
+const service = () => {
+  let held: (() => void)[] = [];
+  let revision = 0;
+  const world = { value: null as { data: unknown; stamp: number } | null, loseNext: false };
+  const apply = (then: Change[], conditions: Condition[]): boolean => {
+    if (conditions.some((c) => c.stamp !== (world.value?.stamp ?? 0))) return false;
+    for (const c of then) if ('put' in c) world.value = { data: c.data, stamp: ++revision };
+    return true;
+  };
+  const store = new ProgressStore(
+    (then, conditions) => {
+      if (world.loseNext) {
+        world.loseNext = false;
+        held.push(() => void apply(then, conditions));
+        return Promise.resolve({ kind: 'unknown' });
+      }
+      return Promise.resolve(
+        apply(then, conditions)
+          ? { kind: 'ok', stamp: world.value!.stamp }
+          : { kind: 'conflict', failed: ['p/wk-1/0'] },
+      );
+    },
+    (key) => Promise.resolve(world.value ? { kind: 'ok', value: { key, ...world.value } } : { kind: 'gone' }),
+  );
+  const arrive = (): void => {
+    held.forEach((run) => run());
+    held = [];
+  };
+  const recorded = (): number => Buffer.from((world.value!.data as { bits: string }).bits, 'base64')[0]!;
+  return { world, store, arrive, recorded };
+};
+
+test('a write of progress that arrives late does not undo a newer one', async () => {
+  const { world, store, arrive, recorded } = service();
+  assert.equal((await store.put(job, 0, bits(1))).kind, 'ok');
+  world.loseNext = true;
+  assert.equal((await store.put(job, 0, bits(3))).kind, 'retry');
+  assert.equal((await store.put(job, 0, bits(7))).kind, 'ok');
+  arrive();
+  assert.equal(recorded(), 7);
+});
+
+test('a write that was carried out without an answer is found, and the next one follows it', async () => {
+  const { world, store, arrive, recorded } = service();
+  world.loseNext = true;
+  assert.equal((await store.put(job, 0, bits(1))).kind, 'retry');
+  arrive();
+  const r = await store.put(job, 0, bits(2));
+  assert.deepEqual(r.kind === 'changed' ? [...r.bytes] : r, [1]);
+  assert.equal((await store.put(job, 0, bits(3))).kind, 'ok');
+  assert.equal(recorded(), 3);
+});
