--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -114,11 +114,11 @@
       party: (q: HttpMessage) => (q.target === '/checkin' ? 'workers' : 'users'),
     };
     const onPublic = httpConnections(limits, this.log, (q, reply) => void this.route(q, reply));
-    this.listen(this.platform.publicAddr, onPublic);
+    this.listen(this.platform.publicAddr, onPublic, this.sockets.backlog);
     const inside = { connections: STATUS_CONNECTIONS, idleMs: 10_000, bodyBytes: 1024 };
     const onStatus = httpConnections(inside, this.log, (q, reply) => reply(this.inspect(q)));
     // A frame's first byte is always 0, so a plain HTTP request for the status page is told apart by its first.
-    this.listen(this.platform.internalAddr, (socket) => {
+    const onInternal = (socket: Socket): void => {
       socket.on('error', () => socket.destroy());
       socket.once('data', (chunk) => {
         socket.pause();
@@ -127,7 +127,8 @@
         socket.unshift(chunk);
         socket.resume();
       });
-    });
+    };
+    this.listen(this.platform.internalAddr, onInternal, STATUS_CONNECTIONS);
     this.state.setShare(this.followerShare());
     for (const link of this.links) link.start();
     this.membership.start();
@@ -142,13 +143,13 @@
     return Math.min(0.4, 1 / this.platform.peers.length);
   }
 
-  private listen(address: Address, onConnection: (s: Socket) => void): void {
+  private listen(address: Address, onConnection: (s: Socket) => void, backlog: number): void {
     const server = createServer(onConnection);
     server.on('error', (e) => {
       this.log.error({ cause: e.message, ...address }, 'cannot listen');
       process.exit(1);
     });
-    server.listen(address.port, address.host);
+    server.listen({ ...address, backlog });
   }
 
   // ---- public requests -------------------------------------------------------------------------------------
--- a/src/runtime/sockets.ts
+++ b/src/runtime/sockets.ts
@@ -8,10 +8,15 @@
 export const STATUS_CONNECTIONS = 16;
 const ORDERS_SHARE = 0.15;
 const MOST_ORDERS = 400;
+/** Connections that wait to be accepted are open sockets, too: after a restart all workers and users come at once. */
+const BACKLOG_SHARE = 0.15;
+const MOST_BACKLOG = 256;
 
 export interface SocketBudget {
   /** Workers and users together, on the public address. */
   public: number;
+  /** Those not accepted yet. */
+  backlog: number;
   /** Connections for orders sent straight to workers. */
   orders: number;
 }
@@ -19,5 +24,6 @@
 export const socketBudget = (limit: number, peers: number): SocketBudget => {
   const left = Math.max(16, limit - OWN - STATUS_CONNECTIONS - EACH_PEER * peers);
   const orders = Math.max(4, Math.min(MOST_ORDERS, Math.floor(left * ORDERS_SHARE)));
-  return { public: left - orders, orders };
+  const backlog = Math.max(4, Math.min(MOST_BACKLOG, Math.floor(left * BACKLOG_SHARE)));
+  return { public: left - orders - backlog, backlog, orders };
 };
--- a/src/test/sockets.test.ts
+++ b/src/test/sockets.test.ts
@@ -13,8 +13,11 @@
   for (const limit of [300, 900, 924, 1890, 10_000]) {
     for (const peers of [0, 2, 4, 8]) {
       const b = socketBudget(limit, peers);
-      assert.ok(b.public > b.orders && b.orders >= 4);
-      assert.ok(b.public + b.orders + 16 + 4 * peers + 40 <= limit, `${limit} with ${peers} peers`);
+      assert.ok(b.public > b.orders && b.orders >= 4 && b.backlog >= 4);
+      assert.ok(
+        b.public + b.backlog + b.orders + 16 + 4 * peers + 40 <= limit,
+        `${limit} with ${peers} peers`,
+      );
     }
   }
 });
