--- /dev/null
+++ b/src/test/cloud.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { createServer, type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import type { Platform } from '../config/platform.js';
+import { CloudClient } from '../runtime/cloud-client.js';
+import { httpConnections } from '../runtime/http-server.js';
+import { Logger } from '../runtime/logger.js';
+import type { MachineId, TypeName, Zone } from '../core/units.js';
+import { encode } from '../wire/cbor.js';
+
+test("renting and returning go before lists in the cloud's budget", async (t) => {
+  const asked: string[] = [];
+  const limits = { connections: 20, idleMs: 5000, bodyBytes: 10_000 };
+  const server = createServer(
+    httpConnections(limits, new Logger('test', 'error'), (q, reply) => {
+      asked.push(`${q.method} ${q.target.split('?')[0]}`);
+      reply({ status: 200, body: encode({ stalls: [], more: false }) });
+    }),
+  ).listen(0, '127.0.0.1');
+  await new Promise((r) => server.once('listening', r));
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const cloud = { host: '127.0.0.1', port };
+  const platform = { cloud, cloudLimits: { rps: 2, listLagS: 8 } } as unknown as Platform;
+  // Time stands still: nothing comes back to the budget, a burst of two and a half.
+  t.mock.method(performance, 'now', () => 1000);
+  const client = new CloudClient(platform);
+  assert.deepEqual(await client.list(), []);
+  assert.equal(await client.list(), null, 'what is left is not for lists');
+  const order = { type: 'g8' as TypeName, zone: 'a' as Zone, spot: false, count: 2 };
+  assert.equal((await client.rent({ request: 't1-1', ...order })).kind, 'rented');
+  assert.equal(await client.giveBack(['host-1' as MachineId]), false, 'the budget is used up');
+  assert.deepEqual(asked, ['GET /machines', 'POST /machines']);
+});
