--- a/src/test/wire.test.ts
+++ b/src/test/wire.test.ts
@@ -96,7 +96,7 @@
 
 const platform = `
 node_name = "stable-0"
-area = "lisboa"
+area = "east"
 public_addr = "10.0.0.1:8080"
 internal_addr = "10.0.0.1:8081"
 some_day = "a new field"
@@ -105,7 +105,7 @@
 state = "10.2.0.1:2379"
 [settings]
 count = 3
-zones = ["lisboa", "ribeira"]
+zones = ["east", "west"]
 clock_error_ms = 25.0
 [settings.workers]
 report_s = 1.5
@@ -132,7 +132,7 @@
   assert.throws(() => parsePlatform(platform.replace('lease_s = 10.0', 'lease_s = "long"')), {
     message: 'settings.workers.lease_s: "long" is not valid; expected number',
   });
-  assert.throws(() => parsePlatform(platform.replace('area = "lisboa"', '')), {
+  assert.throws(() => parsePlatform(platform.replace('area = "east"', '')), {
     message: 'area: missing is not valid; expected "area"',
   });
 });
