Cancellations are told to all controllers, and reports answered only while all are known

Cause (read in the code): a confirmed cancellation reached a leader by its watch alone, and workers were kept alive by the time at which a leader was last seen, though that leader may have been refused by the state service for a lease already. A leader whose authority had run out stopped nothing. Cancelled jobs ended while silent machines could still hold their tasks. Machines up before the first leader were fenced as never come up.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -80,7 +80,13 @@
   noticeAt: Steady | null = null;
   noticeEndsAt: Steady | null = null;
   /** Being given back to the cloud: nothing is placed here any more. */
-  leaving: { why: string; since: Steady; asked: boolean } | null = null;
+  leaving: {
+    why: string;
+    since: Steady;
+    asked: boolean;
+    /** It may hold a cancelled task that must soon be gone. */
+    overdue?: boolean;
+  } | null = null;
   idleSince: Steady | null = null;
   readonly errorJobs = new Map<JobId, Steady>();
   sick = false;
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -1,5 +1,5 @@
 import type { JobRecord } from './types.js';
-import type { Attempt, Counter, JobId, MachineId, Stamp, Steady } from './units.js';
+import type { Attempt, Counter, JobId, MachineId, Stamp, Steady, WallTime } from './units.js';
 
 /** Bits of completed tasks, kept in chunks so that 100,000 tasks fit the state service's value limit. */
 export const CHUNK_TASKS = 16_384;
@@ -79,6 +79,8 @@
   reason: WaitReason = { why: 'queued' };
   loggedReason = '';
   finalizing = false;
+  /** A controller says that its user was told it is cancelled; the record that says so may not have reached us. */
+  calledOffAt: Steady | null = null;
   /** Has waited long with none of its tasks placed. */
   aged = false;
   /** Goes before the others, and room is held for it. */
@@ -107,7 +109,14 @@
   }
 
   get cancelled(): boolean {
-    return this.record.cancelledAt !== null;
+    return this.record.cancelledAt !== null || this.calledOffAt !== null;
+  }
+
+  /** For how long its user may have known that it is cancelled. */
+  cancelledForMs(now: Steady, wall: WallTime): number {
+    const { cancelledAt } = this.record;
+    const byRecord = cancelledAt === null ? -Infinity : wall - cancelledAt;
+    return Math.max(byRecord, this.calledOffAt === null ? -Infinity : now - this.calledOffAt);
   }
 
   get allDone(): boolean {
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -179,6 +179,16 @@
     this.state.log('debug', { job: id, class: record.spec.class, tasks: record.spec.tasks }, 'job known');
   }
 
+  /** A controller has told its user that it is cancelled; its record may reach us much later. */
+  learnCancelled(id: JobId, now: Steady): void {
+    const job = this.state.jobs.get(id);
+    if (!job || job.calledOffAt !== null) return;
+    const news = !job.cancelled;
+    job.calledOffAt = now;
+    if (news) this.state.cancel(job, now);
+    this.state.news = true;
+  }
+
   loadProgress(id: JobId, chunk: number, bytes: Uint8Array): void {
     this.state.jobs.get(id)?.confirmChunk(chunk, bytes);
   }
@@ -207,6 +217,24 @@
     this.logFleet(now);
   }
 
+  /**
+   * While the lease is held but can't be renewed, nothing is decided. What users were told is cancelled ends all the
+   * same: that is final, whoever leads next, and in an outage of the state service nobody has authority to wait for.
+   */
+  tickWithoutAuthority(now: Steady, wall: WallTime): void {
+    this.state.news = false;
+    this.fleet.fenceOverdue(now, wall);
+    this.fleet.returnLeaving(now, true);
+    for (const m of [...this.state.pokes]) {
+      if (m.orderOpen || !m.settled || !m.endpointKnown) continue;
+      const stops = commandsFor(m, this.state.jobs, now).filter(
+        (c) => c.op === 'stop' && this.state.jobs.get(c.job)?.cancelled,
+      );
+      // It stays among those to be told: the rest of its commands waits for authority.
+      if (stops.length > 0) this.order(m, stops);
+    }
+  }
+
   /** A new leader first hears one round of reports; silent machines hold up only what may be on them. */
   private readyToPlace(now: Steady): boolean {
     if (this.rebuilt) return true;
@@ -314,12 +342,16 @@
         if (p) p.orderOpen = true;
         m.unreapable.add(attemptKey(c.job, c.index, c.attempt));
       }
-      m.orderOpen = true;
-      const { id: machine, session } = m;
-      this.state.effects.push({ kind: 'orders', machine, endpoint: m.info.endpoint, session, commands });
+      this.order(m, commands);
     }
   }
 
+  private order(m: Machine, commands: Command[]): void {
+    m.orderOpen = true;
+    const { id: machine, session } = m;
+    this.state.effects.push({ kind: 'orders', machine, endpoint: m.info.endpoint, session, commands });
+  }
+
   /** Now and then, what the money goes to: machines by type and kind, and how much of them is used. */
   private logFleet(now: Steady): void {
     if (now - this.lastFleetLog < FLEET_LOG_MS) return;
--- a/src/core/leader/completion.ts
+++ b/src/core/leader/completion.ts
@@ -14,7 +14,10 @@
     if (flush) this.lastProgress = now;
     for (const job of this.state.jobs.values()) {
       if (job.finalizing) continue;
-      if (job.allDone || (job.cancelled && job.placements.size === 0)) {
+      // Not while a machine that has not reported to this leader may hold its tasks: they count for their team's
+      // limit, and that machine must be fenced in time.
+      const gone = job.placements.size === 0 && !this.state.mayBeOnSilent(job);
+      if (job.allDone || (job.cancelled && gone)) {
         job.finalizing = true;
         const state = job.cancelled ? 'withdrawn' : 'done';
         const chunks = [...job.stored];
--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -7,6 +7,8 @@
 
 const RETURN_RETRY_MS = 1500;
 const GONE_KEPT_MS = 1_800_000;
+/** Names in one request (PROTOCOL, cloud). */
+const MOST_RETURNED = 100;
 const ROSTER_MS = 300;
 const ROSTER_TIDY_MS = 500;
 const TIDY_PAGES = 3;
@@ -16,6 +18,9 @@
 const MANY_LEASES = 1.6;
 /** A zone that is cut off, after this much of cancel_s. */
 const CUT_CANCELS = 1.2;
+/** A silent machine is fenced when it has held a cancelled task for this part of cancel_s; when it may hold one. */
+const OVERDUE_CANCELS = 0.5;
+const MAYBE_OVERDUE_CANCELS = 0.75;
 
 export class Fleet {
   private readonly roster = new Roster();
@@ -100,15 +105,36 @@
   }
 
   /** Gives a machine back with whatever it holds: the sure way to end what can't be reached. */
-  fence(m: Machine, why: string, now: Steady): void {
-    if (m.leaving?.why === 'fence') return;
-    m.leaving = { why: 'fence', since: now, asked: false };
+  fence(m: Machine, why: string, now: Steady, overdue = false): void {
+    if (m.leaving?.why === 'fence') {
+      if (overdue) m.leaving.overdue = true;
+      return;
+    }
+    m.leaving = { why: 'fence', since: now, asked: false, overdue };
     this.state.log('info', { machine: m.id, why, tasks: m.placements.size }, 'machine fenced');
   }
 
+  private get patienceMs(): number {
+    const { reportS, leaseS } = this.state.settings.workers;
+    return Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
+  }
+
+  /**
+   * The one fence that needs no authority: of a silent machine that holds a cancelled task. It may hang, and then
+   * neither a stop nor the end of its lease ends the task. Whoever leads next finds it gone, or fences it once more.
+   */
+  fenceOverdue(now: Steady, wall: WallTime): void {
+    for (const m of this.state.machines.values()) {
+      const since = m.lastReportAt ?? this.state.startedAt;
+      if (!m.up || now - since < this.patienceMs) continue;
+      if (this.holdsOverdueCancel(m, now, wall) || this.mayHoldOverdueCancel(m, now, wall))
+        this.fence(m, 'silent with a cancelled task', now, true);
+    }
+  }
+
   watchSilence(now: Steady, wall: WallTime): void {
     const { reportS, leaseS, cancelS } = this.state.settings.workers;
-    const patience = Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
+    const patience = this.patienceMs;
     const longPatience = Math.max(patience, cancelS * MANY_CANCELS * 1000, leaseS * MANY_LEASES * 1000);
     // Behind a cut the machines are whole. What they held is mostly not placed elsewhere (a spread service may not be),
     // and where its image is cached it starts again as soon as the cut ends: a fenced zone has to boot and fetch first.
@@ -141,44 +167,72 @@
     if (missing > Math.max(3, up * SILENT_SHARE)) this.manyAt = now;
     const many = now - this.manyAt <= backMs;
     for (const m of silent) {
-      if (m.leaving?.why === 'fence') continue;
+      if (m.leaving?.overdue) continue;
       // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
       const cut = this.state.cutZones.has(m.info.zone);
       const since = m.lastReportAt ?? this.state.startedAt;
-      const overdue = this.holdsOverdueCancel(m, wall);
+      const overdue =
+        this.holdsOverdueCancel(m, now, wall) || (!cut && this.mayHoldOverdueCancel(m, now, wall));
       if ((!cut && !many) || overdue || now - since >= (cut ? cutPatience : longPatience) || m.unlisted)
-        this.fence(m, cut ? 'zone silent' : 'silent', now);
+        this.fence(m, cut ? 'zone silent' : 'silent', now, overdue);
     }
   }
 
   /** A cancelled task must be gone within cancel_s: half of it is left to waiting, half to the fence. */
-  private holdsOverdueCancel(m: Machine, wall: WallTime): boolean {
-    for (const { job } of m.placements.values()) {
-      const at = job.record.cancelledAt;
-      if (at !== null && wall - at > this.state.settings.workers.cancelS * 500) return true;
+  private holdsOverdueCancel(m: Machine, now: Steady, wall: WallTime): boolean {
+    const limitMs = this.state.settings.workers.cancelS * 1000 * OVERDUE_CANCELS;
+    for (const { job } of m.placements.values()) if (job.cancelledForMs(now, wall) > limitMs) return true;
+    return false;
+  }
+
+  /**
+   * Not heard since this leadership began, so a cancelled task may hang there that no report has told of. It is
+   * waited for longer: of many such machines most are whole, and end the task or lose their lease by themselves.
+   */
+  private mayHoldOverdueCancel(m: Machine, now: Steady, wall: WallTime): boolean {
+    if (!this.state.blockers.has(m.id)) return false;
+    const limitMs = this.state.settings.workers.cancelS * 1000 * MAYBE_OVERDUE_CANCELS;
+    for (const job of this.state.jobs.values()) {
+      if (!job.cancelled || job.cancelledForMs(now, wall) <= limitMs) continue;
+      if (this.state.mayBeOn(job, m)) return true;
     }
     return false;
   }
 
+  /** Within this time a worker that is up has reported to a new leader, whichever controllers it tries before. */
+  private get firstReportMs(): number {
+    const { leaseS, reportS } = this.state.settings.workers;
+    return (leaseS * 2 + reportS * 2) * 1000;
+  }
+
   watchBoots(now: Steady): void {
     for (const m of this.state.machines.values()) {
       if (m.up || m.leaving) continue;
       const bootMs = (m.type?.bootS ?? 60) * 1000;
-      if (now - m.rentedAt > Math.max(4 * bootMs, 90_000)) this.fence(m, 'never came up', now);
+      if (now - m.rentedAt <= Math.max(4 * bootMs, 90_000)) continue;
+      // Listed for long, and no roster names it: it may be up all the same, as at a first leader's start. Its worker
+      // has had no time yet to report to us.
+      if (now - this.state.startedAt <= this.firstReportMs) continue;
+      this.fence(m, 'never came up', now);
     }
   }
 
-  returnLeaving(now: Steady): void {
+  /** Those with a cancelled task go first; without authority, only those. */
+  returnLeaving(now: Steady, onlyOverdue = false): void {
     if (now - this.lastReturn < RETURN_RETRY_MS) return;
-    const ids: MachineId[] = [];
+    const due: Machine[] = [];
     for (const m of this.state.machines.values()) {
-      if (!m.leaving || m.leaving.asked) continue;
+      if (!m.leaving || m.leaving.asked || (onlyOverdue && !m.leaving.overdue)) continue;
       if (m.leaving.why !== 'fence' && m.busy) continue;
-      m.leaving.asked = true;
+      due.push(m);
+    }
+    if (due.length === 0) return;
+    due.sort((a, b) => Number(b.leaving?.overdue ?? false) - Number(a.leaving?.overdue ?? false));
+    const ids: MachineId[] = [];
+    for (const m of due.slice(0, MOST_RETURNED)) {
+      m.leaving!.asked = true;
       ids.push(m.id);
-      if (ids.length === 100) break;
     }
-    if (ids.length === 0) return;
     this.lastReturn = now;
     this.state.effects.push({ kind: 'return', machines: ids });
   }
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -37,9 +37,14 @@
    */
   mayBeOnSilent(job: Job): boolean {
     if (!job.inherited || this.blockers.size === 0) return false;
-    return this.blockerKinds().some(
-      ({ info, type }) =>
-        mayRunOn(job.spec, info.type, info.zone, info.spot) && (type === undefined || fits(job.spec, type)),
+    return this.blockerKinds().some((m) => this.mayBeOn(job, m));
+  }
+
+  /** Whether an earlier leader may have started a task of the job on this machine, which has not been heard since. */
+  mayBeOn(job: Job, { info, type }: Machine): boolean {
+    if (!job.inherited) return false;
+    return (
+      mayRunOn(job.spec, info.type, info.zone, info.spot) && (type === undefined || fits(job.spec, type))
     );
   }
 
--- /dev/null
+++ b/src/runtime/cancellation-feed.ts
@@ -0,0 +1,138 @@
+// Keeps the log of cancelled jobs up to date: from the state service, from peers, and from what we confirm ourselves.
+import { randomBytes } from 'node:crypto';
+import type { Logger } from './logger.js';
+import type { PeerLink } from './peer-link.js';
+import type { StateClient } from './state-client.js';
+import type { Platform } from '../config/platform.js';
+import {
+  Cancellations,
+  keptMs,
+  renewalWindowMs,
+  type Incarnation,
+  type LogPosition,
+  type Statement,
+} from '../core/cancellations.js';
+import type { Counter, JobId, NodeName, Steady } from '../core/units.js';
+import { parseCancelledJobs } from '../wire/peers.js';
+import { keys, saysCancelled } from '../wire/state.js';
+
+const steady = (): Steady => performance.now() as Steady;
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+const POLL_MS = 1000;
+const PUSH_TIMEOUT_MS = 1000;
+
+/** 'none': no answer; 'too old': what has changed since is not kept any more. */
+type Read = { ledger: Counter; jobs: JobId[] } | 'none' | 'too old';
+
+export class CancellationFeed {
+  private readonly log: Cancellations;
+  private readonly windowMs: number;
+
+  constructor(
+    platform: Platform,
+    private readonly state: StateClient,
+    private readonly links: PeerLink[],
+    private readonly logger: Logger,
+    private readonly onNews: (jobs: JobId[]) => void,
+  ) {
+    const { cancelS, leaseS } = platform.workers;
+    this.log = new Cancellations(
+      randomBytes(9).toString('base64url') as Incarnation,
+      platform.peers.map((p) => p.name),
+      keptMs(cancelS),
+    );
+    this.windowMs = renewalWindowMs(cancelS, leaseS);
+  }
+
+  start(): void {
+    void this.follow();
+  }
+
+  has(job: JobId): boolean {
+    return this.log.has(job);
+  }
+
+  get jobs(): Iterable<JobId> {
+    return this.log.jobs;
+  }
+
+  /** Whether a report may be answered 200: no cancelled task that is unknown here would be kept beyond its time. */
+  mayRenew(now: Steady): boolean {
+    return now <= this.log.provenUntil(now) + this.windowMs;
+  }
+
+  /** How far behind the proof is; null: there is none. For the log and the status page. */
+  behindMs(now: Steady): number | null {
+    const until = this.log.provenUntil(now);
+    return until === -Infinity ? null : Math.round(now - until);
+  }
+
+  /** Called before a user is told, so that every statement made from then on has it. */
+  confirming(job: JobId): void {
+    if (!this.log.add(job, steady())) return;
+    this.onNews([job]);
+    // The heartbeats carry it for certain; this is only sooner, so that nothing of the job is started meanwhile.
+    for (const link of this.links) void link.ask({ kind: 'cancelled', jobs: [job] }, PUSH_TIMEOUT_MS);
+  }
+
+  pushed(raw: unknown): void {
+    const jobs = parseCancelledJobs(raw);
+    if (jobs) this.take(jobs);
+    else this.malformed(null, 'not a list of job ids');
+  }
+
+  have(peer: NodeName): LogPosition | null {
+    return this.log.positionOf(peer);
+  }
+
+  statement(have: LogPosition | null): Statement {
+    return this.log.statement(have, steady());
+  }
+
+  heard(peer: NodeName, s: Statement, askedAt: Steady): void {
+    const news = this.log.heard(peer, s, askedAt, steady());
+    if (news.length > 0) this.onNews(news);
+  }
+
+  malformed(peer: NodeName | null, cause: string): void {
+    this.logger.limited('peer-frame', 'info', { peer, cause }, 'malformed word of cancellations dropped');
+  }
+
+  private take(jobs: JobId[]): void {
+    const news = jobs.filter((j) => this.log.add(j, steady()));
+    if (news.length > 0) this.onNews(news);
+  }
+
+  /** Short questions rather than one long watch: an answer proves something only as of when it was asked for. */
+  private async follow(): Promise<void> {
+    let since: Counter | null = null;
+    for (;;) {
+      const askedAt = steady();
+      const r: Read = since === null ? await this.readAll() : await this.readSince(since);
+      if (typeof r === 'string') {
+        if (r === 'too old') since = null;
+      } else {
+        since = r.ledger;
+        this.take(r.jobs);
+        this.log.stateRead(askedAt);
+      }
+      await sleep(Math.max(0, askedAt + POLL_MS - steady()));
+    }
+  }
+
+  private async readAll(): Promise<Read> {
+    const r = await this.state.list(keys.activePrefix);
+    if (r.kind !== 'ok') return 'none';
+    return { ledger: r.value.ledger, jobs: cancelledIn(r.value.items) };
+  }
+
+  private async readSince(since: Counter): Promise<Read> {
+    const r = await this.state.changes(keys.activePrefix, since);
+    if (r.kind !== 'ok') return r.kind === 'gone' ? 'too old' : 'none';
+    const puts = r.value.log.flatMap((e) => ('put' in e ? [{ key: e.put, data: e.data }] : []));
+    return { ledger: r.value.ledger, jobs: cancelledIn(puts) };
+  }
+}
+
+const cancelledIn = (items: { key: string; data: unknown }[]): JobId[] =>
+  items.filter((i) => saysCancelled(i.data)).map((i) => i.key.slice(keys.activePrefix.length) as JobId);
--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -1,12 +1,13 @@
 // Workers' reports, at whichever controller they arrive: the leader answers with commands; others redirect,
 // relay, or keep the worker alive while no leader can be reached.
+import type { CancellationFeed } from './cancellation-feed.js';
 import type { HttpReply } from './http-server.js';
 import type { Membership } from './membership.js';
 import type { PeerLink } from './peer-link.js';
 import type { LeaderLoop } from './leader-loop.js';
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
-import type { Report } from '../core/types.js';
+import type { Command, Report } from '../core/types.js';
 import type { MachineId, Steady } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import { Vouching } from './vouching.js';
@@ -71,6 +72,7 @@
     private readonly leading: () => LeaderLoop | null,
     private readonly log: Logger,
     private readonly stateOk: () => boolean,
+    private readonly cancelled: Pick<CancellationFeed, 'has' | 'mayRenew'>,
     private readonly clock: () => Steady = steady,
   ) {}
 
@@ -156,6 +158,7 @@
     if (report.token > term) return ['sent elsewhere', elsewhere(null)];
     if (this.membership.authority) {
       this.leaderSeenAt = now;
+      if (!this.cancelled.mayRenew(now)) return ['refused', answer(503, {})];
       const closer = relayed ? null : (this.closerTo(report, now) ?? this.lessBusy(report, now));
       if (closer) return ['sent elsewhere', elsewhere(closer.name)];
       return ['answered', answer(200, reportAnswer(term, loop?.report(report) ?? []))];
@@ -203,7 +206,8 @@
     const closer = this.closerTo(report, now);
     if (closer) return ['sent elsewhere', elsewhere(closer.name)];
     const term = link.status!.term;
-    if (this.vouching.covers(report, link, term)) return ['vouched for', answer(200, reportAnswer(term, []))];
+    if (this.mayVouch(report, now) && this.vouching.covers(report, link, term))
+      return ['vouched for', answer(200, reportAnswer(term, []))];
     const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
@@ -214,21 +218,42 @@
     return this.keepAlive(report, this.clock());
   }
 
+  private mayVouch(report: Report, now: Steady): boolean {
+    return this.cancelled.mayRenew(now) && !report.tasks.some((t) => this.cancelled.has(t.job));
+  }
+
   /**
-   * No leader in reach: work goes on under the last token, with no commands. Bounded, since nobody here learns
-   * of cancellations: with the lease added, a cancelled task must still be gone within cancel_s.
+   * No leader in reach: work goes on under the last token. Only while every cancellation that could matter is known
+   * here, and then the tasks of cancelled jobs are stopped: that is final, so it needs no authority.
    */
   private keepAlive(report: Report, now: Steady): [Outcome, HttpReply] {
-    const { cancelS, leaseS, reportS } = this.platform.workers;
-    const windowMs = (cancelS - leaseS - 2 * reportS - 4) * 1000;
-    const term = highestTerm(this.membership.election);
-    if (now - this.leaderSeenAt > windowMs) return ['refused', answer(503, {})];
+    if (!this.cancelled.mayRenew(now)) return ['refused', answer(503, {})];
+    // Served by the state service, and yet no leader for long: the worker may well reach it where we can't.
+    if (this.stateOk() && now - this.leaderSeenAt > this.leaderlessMs) return ['refused', answer(503, {})];
     // Cut off from everybody but the workers: another controller may lead, and they can reach it. If none answers
     // them they come back, and are kept.
     if (this.isolated(now) && this.maySend(report, now)) return ['sent elsewhere', elsewhere(null)];
-    // A token above ours: another controller has a newer leader. Ours would hold the worker here in vain.
-    if (report.token > term) return ['sent elsewhere', elsewhere(null)];
-    return ['kept alive', answer(200, reportAnswer(term, []))];
+    const term = highestTerm(this.membership.election);
+    // A token above ours: another controller has a newer leader. A worker that comes back has found none, and is
+    // answered under the token that it has, since a lower one would hold it here in vain.
+    const newer = report.token > term;
+    if (newer && (this.stateOk() || this.maySend(report, now))) return ['sent elsewhere', elsewhere(null)];
+    const token = newer ? report.token : term;
+    return ['kept alive', answer(200, reportAnswer(token, this.stopsFor(report)))];
+  }
+
+  private stopsFor(report: Report): Command[] {
+    const stops: Command[] = [];
+    for (const { state, job, index, attempt } of report.tasks) {
+      if (state === 'exited' || !this.cancelled.has(job)) continue;
+      stops.push({ op: 'stop', job, index, attempt, graceS: 0 });
+    }
+    return stops;
+  }
+
+  private get leaderlessMs(): number {
+    const { cancelS, leaseS, reportS } = this.platform.workers;
+    return (cancelS - leaseS - 2 * reportS - 4) * 1000;
   }
 
   private isolated(now: Steady): boolean {
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -4,6 +4,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { Admission } from './admission.js';
+import { CancellationFeed } from './cancellation-feed.js';
 import { Checkin } from './checkin.js';
 import { CloudClient } from './cloud-client.js';
 import { httpConnections, type HttpReply } from './http-server.js';
@@ -20,8 +21,9 @@
 import type { Address, Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { MachineType } from '../core/types.js';
-import type { JobId } from '../core/units.js';
+import type { JobId, Steady } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
+import { parsePosition } from '../wire/peers.js';
 import { keys, parseStoredTypes } from '../wire/state.js';
 
 const STATE_FRESH_MS = 2500;
@@ -52,7 +54,8 @@
   private readonly state: StateClient;
   private readonly cloud: CloudClient;
   private readonly membership: Membership;
-  private readonly links: PeerLink[];
+  private readonly links: PeerLink[] = [];
+  private readonly cancelled: CancellationFeed;
   private readonly users: UserApi;
   private readonly checkin: Checkin;
   private readonly random: () => number;
@@ -82,19 +85,19 @@
       // just restarted: without it, its workers would lose their leases for want of an answer.
       onLeaderKey: () => this.checkin.sawLeader(operator.leaseMs),
     });
-    this.links = platform.peers.map(
-      (peer) =>
-        new PeerLink(
-          peer,
-          () => this.status(),
-          (s) => this.heard(s),
-        ),
+    this.cancelled = new CancellationFeed(platform, this.state, this.links, this.log, (jobs) =>
+      this.loop?.learnCancelled(jobs),
     );
+    for (const peer of platform.peers) {
+      const own = (): PeerStatus => this.status();
+      this.links.push(new PeerLink(peer, own, (s) => this.heard(s), this.cancelled));
+    }
     this.users = new UserApi(
       platform,
       this.state,
       () => this.types,
       (id) => this.counts(id),
+      (id) => this.cancelled.confirming(id),
     );
     this.checkin = new Checkin(
       platform,
@@ -103,6 +106,7 @@
       () => this.loop,
       this.log,
       () => this.stateOk(),
+      this.cancelled,
     );
   }
 
@@ -132,6 +136,7 @@
     this.state.setShare(this.followerShare());
     for (const link of this.links) link.start();
     this.membership.start();
+    this.cancelled.start();
     void this.keepTypes();
     setInterval(() => this.shareHints(), HINTS_MS);
     setInterval(() => this.checkHearing(), 500);
@@ -260,7 +265,10 @@
     switch (q.kind) {
       case 'heartbeat':
         this.heard(q.from);
-        return { status: this.status() };
+        return { status: this.status(), cancelled: this.cancelled.statement(parsePosition(q.have)) };
+      case 'cancelled':
+        this.cancelled.pushed(q.jobs);
+        return {};
       case 'relay': {
         if (!this.membership.holdsLease) return {};
         const r = await this.checkin.relayed(Buffer.from(q.report));
@@ -328,6 +336,7 @@
       ...this.status(),
       requests: { open: this.admission.busy, refused: this.admission.refused, ...stage(this.times.user) },
       reports: stage(this.times.report),
+      cancellationsBehindMs: this.cancelled.behindMs(performance.now() as Steady),
       queue: this.loop?.core?.status() ?? null,
     };
     return { status: 200, body: encode(JSON.parse(JSON.stringify(body))) };
@@ -358,6 +367,7 @@
       () => this.types,
       this.hints.all(),
       this.sockets.orders,
+      this.cancelled,
     );
     void this.loop.start();
   }
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -1,4 +1,5 @@
 // Runs a core Leader: loads what the state service holds, carries out effects, feeds back their outcomes.
+import type { CancellationFeed } from './cancellation-feed.js';
 import type { CloudClient } from './cloud-client.js';
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
@@ -55,6 +56,7 @@
     private readonly types: () => MachineType[],
     private readonly hints: ImageHints,
     orderSockets: number,
+    private readonly cancelled: Pick<CancellationFeed, 'has' | 'jobs'>,
   ) {
     this.workers = new WorkerCalls(orderSockets);
     this.progressStore = new ProgressStore(
@@ -122,6 +124,12 @@
     this.workers.close();
   }
 
+  learnCancelled(jobs: JobId[]): void {
+    if (!this.leader) return;
+    for (const id of jobs) this.leader.learnCancelled(id, steady());
+    this.soon();
+  }
+
   report(report: Report): ReturnType<Leader['onReport']> {
     const leader = this.leader;
     if (!leader) return [];
@@ -163,8 +171,10 @@
   private learn(leader: Leader, key: string, data: unknown, stamp: Counter, inherited: boolean): void {
     const record = wire.parseJobRecord(data);
     const id = key.slice(wire.keys.activePrefix.length) as JobId;
-    if (record) leader.learnJob(id, record, stamp, inherited, steady(), wall());
-    else this.log.error({ key }, 'damaged job record, not placed');
+    if (record) {
+      leader.learnJob(id, record, stamp, inherited, steady(), wall());
+      if (this.cancelled.has(id)) leader.learnCancelled(id, steady());
+    } else this.log.error({ key }, 'damaged job record, not placed');
   }
 
   private async watchJobs(from: Counter): Promise<void> {
@@ -218,10 +228,11 @@
 
   private tick(): void {
     const leader = this.leader;
-    // Without authority nothing is decided: another controller may lead already.
-    if (!leader || this.ended || !this.membership.authority) return;
+    if (!leader || this.ended) return;
     const began = steady();
-    leader.tick(began, wall());
+    // Without authority nothing is decided: another controller may lead already.
+    if (this.membership.authority) leader.tick(began, wall());
+    else leader.tickWithoutAuthority(began, wall());
     this.tickEnded = steady();
     this.tickMs = this.tickEnded - began;
     this.longestTickMs = Math.max(this.longestTickMs, this.tickMs);
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -2,10 +2,12 @@
 // answers what the peers ask on their own connections.
 import { connect, type Socket } from 'node:net';
 import type { Platform } from '../config/platform.js';
+import type { LogPosition, Statement } from '../core/cancellations.js';
 import type { ImageHints } from '../core/leader.js';
 import type { Vouch } from '../core/types.js';
-import type { NodeName, Term, Zone } from '../core/units.js';
+import type { NodeName, Steady, Term, Zone } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
+import { parseStatement } from '../wire/peers.js';
 
 const MAX_FRAME = 256 * 1024;
 const HEARTBEAT_MS = 400;
@@ -27,7 +29,9 @@
   leaderSeenAgoMs: number | null;
 }
 export type PeerRequest =
-  | { kind: 'heartbeat'; from: PeerStatus }
+  /** `have`: how much of the answerer's log of cancellations the asker holds. */
+  | { kind: 'heartbeat'; from: PeerStatus; have: LogPosition | null }
+  | { kind: 'cancelled'; jobs: string[] }
   | { kind: 'relay'; report: Uint8Array }
   | { kind: 'vouch'; term: Term; machines: Vouch[] }
   | { kind: 'user'; method: string; target: string; body: Uint8Array }
@@ -109,6 +113,13 @@
   socket.on('error', () => socket.destroy());
 };
 
+/** What each heartbeat asks a peer about cancellations, and where its answer goes. */
+export interface CancellationExchange {
+  have: (peer: NodeName) => LogPosition | null;
+  heard: (peer: NodeName, s: Statement, askedAt: Steady) => void;
+  malformed: (peer: NodeName, cause: string) => void;
+}
+
 export class PeerLink {
   private socket: Socket | null = null;
   private outbox: Outbox | null = null;
@@ -124,6 +135,7 @@
     readonly peer: Platform['peers'][number],
     private readonly own: () => PeerStatus,
     private readonly onStatus: (s: PeerStatus) => void,
+    private readonly cancelled: CancellationExchange,
   ) {}
 
   get name(): NodeName {
@@ -174,7 +186,9 @@
   private async heartbeat(): Promise<void> {
     if (this.heartbeatOpen) return;
     this.heartbeatOpen = true;
-    const a = await this.ask({ kind: 'heartbeat', from: this.own() }, ALIVE_MS);
+    const askedAt = performance.now() as Steady;
+    const have = this.cancelled.have(this.name);
+    const a = await this.ask({ kind: 'heartbeat', from: this.own(), have }, ALIVE_MS);
     this.heartbeatOpen = false;
     if (a === null) {
       // A connection that stopped answering may sit behind a cut: a new one works as soon as the cut ends.
@@ -186,6 +200,9 @@
     this.heardAt = performance.now();
     this.status = status;
     this.onStatus(status);
+    const s = parseStatement(a['cancelled']);
+    if (s.ok) this.cancelled.heard(this.name, s.value, askedAt);
+    else this.cancelled.malformed(this.name, s.cause);
   }
 
   private dial(): void {
--- a/src/runtime/state-client.ts
+++ b/src/runtime/state-client.ts
@@ -150,6 +150,11 @@
     await this.leases.request('DELETE', `/leases/${lease}`, null, TIMEOUT_MS);
   }
 
+  /** What has changed since, at once. */
+  async changes(prefix: string, since: Counter) {
+    return this.read(wire.watchTarget(prefix, since, 0), wire.parseEvents, reserves.urgent);
+  }
+
   async watch(prefix: string, since: Counter, waitMs: number) {
     const r = await this.watches.request('GET', wire.watchTarget(prefix, since, waitMs), null, waitMs + 3000);
     return this.outcome(r, wire.parseEvents);
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -42,6 +42,8 @@
     private readonly state: StateClient,
     private readonly types: () => MachineType[],
     private readonly counts: (id: JobId) => Promise<{ done: number; running: number } | null>,
+    /** A user is about to be told that this job, whose tasks may still be there, is cancelled. */
+    private readonly confirming: (id: JobId) => void,
   ) {
     this.teams = new Map(platform.teams.map((t) => [t.name, t]));
   }
@@ -124,7 +126,7 @@
     }
     if (found.kind === 'damaged') return good(statusBody(id, 'pending', { done: 0, running: 0 }));
     if (found.kind !== 'active') return busy('not certain');
-    if (found.record.cancelledAt !== null) return good(statusBody(id, 'withdrawn', { done: 0, running: 0 }));
+    if (found.record.cancelledAt !== null) return this.withdrawn(id);
     const counts = (await this.counts(id)) ?? { done: 0, running: 0 };
     const status: UserStatus = counts.running > 0 ? 'running' : 'pending';
     return good(statusBody(id, status, counts));
@@ -136,7 +138,7 @@
       if (found.kind === 'none') return bad(404, 'no such job');
       if (found.kind === 'undecided' || found.kind === 'damaged') return busy('not certain');
       if (found.kind === 'final') return good(statusBody(id, found.record.state));
-      if (found.record.cancelledAt !== null) return good(statusBody(id, 'withdrawn'));
+      if (found.record.cancelledAt !== null) return this.withdrawn(id);
       // Done against cancelled is decided here: both compare the job's record.
       const record: JobRecord = { ...found.record, cancelledAt: Date.now() as WallTime };
       const r = await this.state.transact(
@@ -146,12 +148,17 @@
         },
         reserves.urgent,
       );
-      if (r.kind === 'ok') return good(statusBody(id, 'withdrawn'));
+      if (r.kind === 'ok') return this.withdrawn(id);
       if (r.kind === 'refused') return busy('state service refuses');
     }
     return busy('not certain to be recorded');
   }
 
+  private withdrawn(id: JobId): HttpReply {
+    this.confirming(id);
+    return good(statusBody(id, 'withdrawn', { done: 0, running: 0 }));
+  }
+
   /** Active first, then final: a job that finishes between the two reads is found by the second. */
   private async lookup(id: JobId): Promise<Lookup> {
     const kept = this.finals.get(id);
--- /dev/null
+++ b/src/test/cancellations.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Cancellations, renewalWindowMs, type Incarnation } from '../core/cancellations.js';
+import type { JobId, NodeName, Steady } from '../core/units.js';
+import { parseStatement } from '../wire/peers.js';
+
+const at = (ms: number): Steady => ms as Steady;
+const job = (n: number): JobId => `wk-${n}` as JobId;
+const KEPT = 160_000;
+
+/** Controllers a, b and c; each asks and hears the others by hand. */
+const cluster = () => {
+  const names = ['a', 'b', 'c'] as NodeName[];
+  const make = (name: string, run = 1): Cancellations =>
+    new Cancellations(
+      `${name}${run}` as Incarnation,
+      names.filter((n) => n !== name),
+      KEPT,
+    );
+  const logs = { a: make('a'), b: make('b'), c: make('c') };
+  const ask = (who: 'a' | 'b' | 'c', whom: 'a' | 'b' | 'c', ms: number): void => {
+    const s = logs[whom].statement(logs[who].positionOf(whom as NodeName), at(ms + 1));
+    logs[who].heard(whom as NodeName, s, at(ms), at(ms + 2));
+  };
+  return { logs, ask, make };
+};
+
+test('a read of the state service proves what was confirmed before it was asked for', () => {
+  const { logs } = cluster();
+  assert.equal(logs.a.provenUntil(at(50)), -Infinity, 'a process that has just begun knows nothing');
+  logs.a.stateRead(at(100));
+  logs.a.stateRead(at(70));
+  assert.equal(logs.a.provenUntil(at(200)), 100, 'a late answer does not move it back');
+});
+
+test('in an outage the peers together prove it, and their logs tell what they confirmed', () => {
+  const { logs, ask } = cluster();
+  ask('a', 'b', 0);
+  ask('a', 'c', 0);
+  assert.equal(logs.a.provenUntil(at(10)), -Infinity, 'what their earlier processes confirmed is not known');
+  logs.a.stateRead(at(100));
+  logs.b.add(job(1), at(150));
+  ask('a', 'b', 200);
+  assert.ok(logs.a.has(job(1)));
+  assert.equal(logs.a.provenUntil(at(210)), 100, 'c has not spoken yet');
+  ask('a', 'c', 300);
+  assert.equal(logs.a.provenUntil(at(310)), 200);
+  ask('a', 'b', 400);
+  assert.equal(logs.a.provenUntil(at(410)), 300);
+});
+
+test('a peer restarted within an outage proves nothing about its process before', () => {
+  const { logs, ask, make } = cluster();
+  for (const peer of ['b', 'c'] as const) ask('a', peer, 0);
+  logs.a.stateRead(at(100));
+  for (const peer of ['b', 'c'] as const) ask('a', peer, 200);
+  assert.equal(logs.a.provenUntil(at(210)), 200);
+  logs.b.add(job(1), at(250)); // confirmed, and then it ends before anybody has heard
+  logs.b = make('b', 2);
+  for (const peer of ['b', 'c'] as const) ask('a', peer, 300);
+  for (const peer of ['b', 'c'] as const) ask('a', peer, 400);
+  assert.equal(logs.a.provenUntil(at(410)), 200);
+  logs.a.stateRead(at(500));
+  for (const peer of ['b', 'c'] as const) ask('a', peer, 600);
+  assert.equal(logs.a.provenUntil(at(610)), 600, 'a read covers the gap');
+});
+
+test('a controller that has just begun takes over what a peer knows and can prove', () => {
+  const { logs, ask } = cluster();
+  logs.b.add(job(1), at(50));
+  logs.b.add(job(2), at(60));
+  logs.b.stateRead(at(1000));
+  ask('a', 'b', 3000);
+  assert.ok(logs.a.has(job(1)) && logs.a.has(job(2)));
+  const proven = logs.a.provenUntil(at(3010));
+  assert.ok(proven <= 1000 && proven > 990, `${proven}: as old as the peer's own, and less for drift`);
+});
+
+test('part of a long log moves nothing, the rest of it does', () => {
+  const { logs, ask } = cluster();
+  for (let n = 0; n < 2500; n++) logs.b.add(job(n), at(1));
+  logs.b.stateRead(at(100));
+  ask('a', 'b', 200);
+  assert.ok(logs.a.has(job(0)) && !logs.a.has(job(2400)));
+  assert.equal(logs.a.provenUntil(at(210)), -Infinity);
+  ask('a', 'b', 300);
+  assert.ok(logs.a.has(job(2400)) && logs.a.provenUntil(at(310)) > 0);
+});
+
+test('entries leave when no task of theirs can be left, and positions go on', () => {
+  const { logs, ask } = cluster();
+  logs.b.add(job(1), at(0));
+  ask('a', 'b', 10);
+  logs.b.add(job(2), at(KEPT + 100));
+  assert.ok(!logs.b.has(job(1)));
+  ask('a', 'b', KEPT + 200);
+  assert.ok(logs.a.has(job(2)));
+  ask('c', 'b', KEPT + 200);
+  assert.ok(logs.c.has(job(2)) && !logs.c.has(job(1)));
+});
+
+test('malformed words of a peer are refused', () => {
+  const good = { incarnation: 'b1', from: 0, jobs: ['wk-1'], end: 1, completeAgoMs: 5 };
+  assert.ok(parseStatement(good).ok);
+  assert.ok(parseStatement({ ...good, completeAgoMs: null }).ok);
+  for (const bad of [
+    null,
+    {},
+    { ...good, jobs: ['x'] },
+    { ...good, jobs: 7 },
+    { ...good, from: -1 },
+    { ...good, end: 0 },
+    { ...good, completeAgoMs: -1 },
+    { ...good, completeAgoMs: NaN },
+    { ...good, incarnation: '' },
+  ])
+    assert.ok(!parseStatement(bad).ok, JSON.stringify(bad));
+});
+
+test('the window leaves a lease, the clocks and a margin before cancel_s', () => {
+  const windowMs = renewalWindowMs(40, 10);
+  assert.ok(windowMs > 28_000 && windowMs + 10_000 * 1.0005 < 40_000 * 0.9995 - 1000, String(windowMs));
+});
--- a/src/test/checkin.test.ts
+++ b/src/test/checkin.test.ts
@@ -6,6 +6,7 @@
 import { Logger } from '../runtime/logger.js';
 import type { Platform } from '../config/platform.js';
 import { emptyElection, learnLeader } from '../core/election.js';
+import { renewalWindowMs } from '../core/cancellations.js';
 import { Leader } from '../core/leader.js';
 import type { MachineId, NodeName, Steady, Term } from '../core/units.js';
 import { decode, encode } from '../wire/cbor.js';
@@ -18,6 +19,7 @@
   const election = emptyElection();
   learnLeader(election, 'stable-1' as NodeName, 3 as Term);
   const world = { now: 1000, linked: true, relayed: 0, stateOk: true, hearing: true, refuses: false };
+  const cancelled = { jobs: new Set<string>(), provenUntil: Infinity };
   const link = {
     name: 'stable-1',
     zone: 'west',
@@ -41,9 +43,13 @@
     () => null,
     log,
     () => world.stateOk,
+    {
+      has: (job) => cancelled.jobs.has(job),
+      mayRenew: (now) => now <= cancelled.provenUntil + renewalWindowMs(workers.cancelS, workers.leaseS),
+    },
     () => world.now as Steady,
   );
-  const report = async (zone: string, reins = 3): Promise<string> => {
+  const report = async (zone: string, reins = 3, hands: unknown[] = []): Promise<string> => {
     const body = {
       stall: 'host-1',
       endpoint: '10.0.0.9:9000',
@@ -53,12 +59,12 @@
       shift: 1,
       tally: 1,
       reins,
-      hands: [],
+      hands,
     };
     const r = await checkin.handle(encode(body));
     return `${r.status} ${JSON.stringify(r.body ? decode(r.body) : null)}`;
   };
-  return { world, checkin, report };
+  return { world, cancelled, checkin, report };
 };
 
 test('reports are relayed to the leader; a worker of another zone is sent home once', async () => {
@@ -124,6 +130,34 @@
   assert.equal(await report('east'), '503 {}');
 });
 
+test('in an outage, workers are kept for as long as every cancellation is known, and cancelled tasks are stopped', async () => {
+  const { world, cancelled, report } = follower();
+  Object.assign(world, { linked: false, stateOk: false });
+  assert.equal(await report('east'), '421 {}', 'without peers too, another controller may do better');
+  const tasks = [
+    { hand: 'wk-1/0', try: 5, status: 'running' },
+    { hand: 'wk-2/3', try: 6, status: 'running' },
+    { hand: 'wk-1/1', try: 7, status: 'exited', cause: 'done' },
+  ];
+  cancelled.jobs.add('wk-1');
+  const stop = '{"call":"kill","hand":"wk-1/0","try":5,"slackS":0}';
+  assert.equal(await report('east', 3, tasks), `200 {"reins":3,"calls":[${stop}]}`);
+  // A task cancelled right after the proof must be gone in time: the answer keeps it for a lease.
+  cancelled.provenUntil = world.now;
+  world.now += (workers.cancelS - workers.leaseS) * 1000 - 2000;
+  assert.equal(await report('east'), '421 {}', 'tried again now and then');
+  assert.equal(await report('east', 3, tasks), `200 {"reins":3,"calls":[${stop}]}`);
+  world.now += 2000;
+  assert.equal(await report('east', 3, tasks), '503 {}');
+});
+
+test('a controller restarted within an outage answers under the token that the worker has', async () => {
+  const { world, report } = follower();
+  Object.assign(world, { linked: false, stateOk: false });
+  assert.equal(await report('east', 9), '421 {}');
+  assert.equal(await report('east', 9), '200 {"reins":9,"calls":[]}', 'nobody else took it');
+});
+
 /** A leader with one settled machine that needs nothing, and a follower whose link leads to it. */
 const vouchers = () => {
   const term = 3 as Term;
@@ -172,6 +206,7 @@
     () => null,
     new Logger('test', 'error'),
     () => true,
+    { has: () => false, mayRenew: () => true },
     () => world.now as Steady,
   );
   const report = async (tally: number, over: Record<string, unknown> = {}): Promise<string> => {
--- a/src/test/user-api.test.ts
+++ b/src/test/user-api.test.ts
@@ -67,6 +67,7 @@
 
 const setup = (known = types) => {
   const store = new Store();
+  const confirmed: string[] = [];
   const platform = { teams, stateLimits: { valueKb: 8 } } as unknown as Platform;
   const make = (): UserApi =>
     new UserApi(
@@ -74,6 +75,7 @@
       store as unknown as StateClient,
       () => known,
       () => Promise.resolve(null),
+      (id) => confirmed.push(id),
     );
   const call = async (api: UserApi, method: string, target: string, body?: unknown): Promise<string> => {
     const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
@@ -81,7 +83,7 @@
     const answer = r.body ? (decode(r.body) as { status?: string }) : {};
     return `${r.status}${answer.status ? ` ${answer.status}` : ''}${r.retryAfterS ? ` after ${r.retryAfterS}` : ''}`;
   };
-  return { store, make, call };
+  return { store, make, call, confirmed };
 };
 
 test('accepted once, known at every controller, never invented', async () => {
@@ -165,3 +167,16 @@
   assert.equal(stage.enter('c'), false, 'served: it is one of many again');
   assert.equal(stage.enter('d'), true);
 });
+
+test('whoever tells a user that a job is cancelled knows it before: by its own hand, on being asked, on a repeat', async () => {
+  const { store, make, call, confirmed } = setup();
+  const [a, b, c] = [make(), make(), make()];
+  await call(a, 'POST', '/v1/jobs', job);
+  store.mode = 'answer lost';
+  assert.equal(await call(a, 'POST', '/v1/jobs/wk-1/abort'), '200 withdrawn', 'what is recorded decides');
+  assert.deepEqual(confirmed, ['wk-1']);
+  store.mode = 'up';
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-1'), '200 withdrawn');
+  assert.equal(await call(c, 'POST', '/v1/jobs', job), '200 withdrawn');
+  assert.deepEqual(confirmed, ['wk-1', 'wk-1', 'wk-1']);
+});
--- /dev/null
+++ b/src/wire/peers.ts
@@ -0,0 +1,38 @@
+// What controllers tell one another of cancellations. A frame of another shape is dropped: it proves nothing.
+import * as v from 'valibot';
+import { amount, parseWith, safeCount, text } from './common.js';
+import type { LogPosition, Statement } from '../core/cancellations.js';
+import type { JobId } from '../core/units.js';
+import { isJobId } from './users.js';
+
+const jobs = v.array(v.custom<JobId>((j) => typeof j === 'string' && isJobId(j)));
+const position = v.object({ incarnation: text, position: safeCount });
+const statement = v.object({
+  incarnation: text,
+  from: safeCount,
+  jobs,
+  end: safeCount,
+  completeAgoMs: v.nullable(amount),
+});
+
+export const parseStatement = (
+  raw: unknown,
+): { ok: true; value: Statement } | { ok: false; cause: string } => {
+  const r = parseWith(statement, raw);
+  if (!r.ok) return r;
+  const s = r.value as Statement;
+  return s.from + s.jobs.length > s.end
+    ? { ok: false, cause: 'jobs beyond the end of the log' }
+    : (r as { ok: true; value: Statement });
+};
+
+/** Null where the asker holds nothing, or says so in a shape that we don't know. */
+export const parsePosition = (raw: unknown): LogPosition | null => {
+  const r = parseWith(position, raw);
+  return r.ok ? (r.value as LogPosition) : null;
+};
+
+export const parseCancelledJobs = (raw: unknown): JobId[] | null => {
+  const r = parseWith(jobs, raw);
+  return r.ok ? r.value : null;
+};
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -117,6 +117,9 @@
         cancelledAt: r.cancelledAt as WallTime | null,
       };
 };
+/** Whether a job's record says that it is cancelled; cheaper than reading all of it. */
+export const saysCancelled = (raw: unknown): boolean =>
+  typeof raw === 'object' && raw !== null && 'cancelledAt' in raw && typeof raw.cancelledAt === 'number';
 export const parseFinal = (raw: unknown): FinalRecord | null => orNull(finalRecord, raw);
 export const parseLeader = (raw: unknown) =>
   orNull(leaderRecord, raw) as { node: NodeName; term: Term } | null;
