--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -74,6 +74,11 @@
     return this.learnedAt.get(job);
   }
 
+  someLearned(from: Steady, until: Steady): boolean {
+    for (const at of this.learnedAt.values()) if (at >= from && at < until) return true;
+    return false;
+  }
+
   get jobs(): Iterable<JobId> {
     return this.learnedAt.keys();
   }
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -48,6 +48,8 @@
   lastCycleWork = 0;
   private attempts = 0;
   private rebuilt = false;
+  /** The last tick had no authority. */
+  private unauthorised = false;
   private lastFleetLog = -Infinity;
   private readonly state: LeaderState;
   private readonly fleet: Fleet;
@@ -207,6 +209,8 @@
 
   tick(now: Steady, wall: WallTime): void {
     this.state.news = false;
+    if (this.unauthorised) this.fleet.listenAnew(now);
+    this.unauthorised = false;
     this.fleet.enroll(now);
     this.fleet.watchSilence(now, wall);
     this.fleet.watchBoots(now);
@@ -223,6 +227,7 @@
    */
   tickWithoutAuthority(now: Steady, wall: WallTime): void {
     this.state.news = false;
+    this.unauthorised = true;
     this.fleet.fenceOverdue(now, wall);
     this.fleet.returnLeaving(now, true);
     for (const m of [...this.state.pokes]) {
--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -30,6 +30,7 @@
   private lastReturn = -Infinity;
   /** When many machines were last silent together. */
   private manyAt = -Infinity;
+  private listeningSince = -Infinity;
 
   constructor(private readonly state: LeaderState) {}
 
@@ -114,6 +115,16 @@
     this.state.log('info', { machine: m.id, why, tasks: m.placements.size }, 'machine fenced');
   }
 
+  /** Authority is back: what could not be heard meanwhile has its time to be heard. */
+  listenAnew(now: Steady): void {
+    this.listeningSince = now;
+  }
+
+  private silentSince(m: Machine): Steady {
+    const { startedAt } = this.state;
+    return Math.max(m.lastReportAt ?? startedAt, this.listeningSince) as Steady;
+  }
+
   private get patienceMs(): number {
     const { reportS, leaseS } = this.state.settings.workers;
     return Math.max(reportS * 1.25 * 3 + 1, leaseS * 0.6) * 1000;
@@ -125,7 +136,7 @@
    */
   fenceOverdue(now: Steady, wall: WallTime): void {
     for (const m of this.state.machines.values()) {
-      const since = m.lastReportAt ?? this.state.startedAt;
+      const since = this.silentSince(m);
       if (!m.up || now - since < this.patienceMs) continue;
       if (this.holdsOverdueCancel(m, now, wall) || this.mayHoldOverdueCancel(m, now, wall))
         this.fence(m, 'silent with a cancelled task', now, true);
@@ -148,7 +159,7 @@
       if (!m.up) continue;
       const zone = m.info.zone;
       total.set(zone, (total.get(zone) ?? 0) + 1);
-      const since = m.lastReportAt ?? this.state.startedAt;
+      const since = this.silentSince(m);
       if (now - since >= missed) quiet.set(zone, (quiet.get(zone) ?? 0) + 1);
       if (now - since >= patience) silent.push(m);
     }
@@ -170,7 +181,7 @@
       if (m.leaving?.overdue) continue;
       // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
       const cut = this.state.cutZones.has(m.info.zone);
-      const since = m.lastReportAt ?? this.state.startedAt;
+      const since = this.silentSince(m);
       const overdue =
         this.holdsOverdueCancel(m, now, wall) || (!cut && this.mayHoldOverdueCancel(m, now, wall));
       if ((!cut && !many) || overdue || now - since >= (cut ? cutPatience : longPatience) || m.unlisted)
--- a/src/runtime/cancellation-feed.ts
+++ b/src/runtime/cancellation-feed.ts
@@ -52,6 +52,14 @@
     return this.log.has(job);
   }
 
+  learned(job: JobId): Steady | undefined {
+    return this.log.learned(job);
+  }
+
+  someLearned(from: Steady, until: Steady): boolean {
+    return this.log.someLearned(from, until);
+  }
+
   get jobs(): Iterable<JobId> {
     return this.log.jobs;
   }
--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -8,7 +8,7 @@
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { Command, Report } from '../core/types.js';
-import type { MachineId, Steady } from '../core/units.js';
+import { sameCounter, type MachineId, type Steady } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import { Vouching } from './vouching.js';
 import { parseReport, redirectBody, reportAnswer } from '../wire/workers.js';
@@ -20,6 +20,8 @@
 /** A worker sent away since we can't do more than keep it is kept if it comes back within this time. */
 const SEND_EVERY_MS = 20_000;
 const REPORTS_LOG_MS = 10_000;
+/** Guards against names without end from outside. */
+const MOST_REPORTS = 5000;
 /** Reports a second that a leader takes itself, by the part of a core that it has. */
 const DIRECT_OF_A_CORE = 200;
 const LEAST_DIRECT = 10;
@@ -56,6 +58,11 @@
 }
 
 export class Checkin {
+  /** The last report of each machine that reports here. */
+  private readonly lastReports = new Map<
+    MachineId,
+    Pick<Report, 'session' | 'seq' | 'tasks'> & { at: Steady }
+  >();
   private readonly bounces = new Map<MachineId, Steady>();
   private readonly sentAway = new Map<MachineId, Steady>();
   private readonly vouching = new Vouching();
@@ -108,7 +115,7 @@
     const [outcome, reply, machine] = await this.decide(body, true, now);
     this.count(outcome, now);
     const quiet = machine !== undefined && (this.leading()?.core?.isQuiet(machine) ?? false);
-    return { ...reply, quiet: outcome === 'answered' && quiet };
+    return { ...reply, quiet: reply.status === 200 && quiet };
   }
 
   private async decide(
@@ -122,10 +129,11 @@
       return ['refused', answer(400, { error: parsed.cause })];
     }
     const report = parsed.value;
+    if (!relayed) this.noteReport(report, now);
     if (this.membership.holdsLease) return [...this.asLeader(report, relayed, now), report.id];
     const link = this.leaderLink(now);
     if (link) {
-      this.leaderSeenAt = now;
+      if (link.status?.leading) this.leaderSeenAt = now;
       return this.toLeader(report, body, link, now);
     }
     const refused = this.refusingLeader(now);
@@ -211,13 +219,23 @@
     const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
-    if (typeof status === 'number' && bytes instanceof Uint8Array) {
+    // One without authority may not be able to answer for the worker; then we may.
+    const useful = status === 200 || link.status?.leading === true;
+    if (typeof status === 'number' && bytes instanceof Uint8Array && useful) {
       this.vouching.learn(report, term, status === 200 && relayed?.['quiet'] === true);
       return ['relayed', { status, body: Buffer.from(bytes) }];
     }
     return this.keepAlive(report, this.clock());
   }
 
+  private noteReport({ id, session, seq, tasks }: Report, now: Steady): void {
+    const last = this.lastReports.get(id);
+    // A copy says nothing of now.
+    if (last && (session < last.session || (sameCounter(session, last.session) && seq <= last.seq))) return;
+    if (!last && this.lastReports.size >= MOST_REPORTS) this.lastReports.clear();
+    this.lastReports.set(id, { session, seq, tasks, at: now });
+  }
+
   private mayVouch(report: Report, now: Steady): boolean {
     return this.cancelled.mayRenew(now) && !report.tasks.some((t) => this.cancelled.has(t.job));
   }
@@ -260,17 +278,32 @@
     return !this.stateOk() && this.links.length > 0 && !this.links.some((l) => l.alive(now));
   }
 
+  /** The leader; else whoever holds its lease: it goes on learning where tasks are, and whom to fence. */
   private leaderLink(now: Steady): PeerLink | null {
-    for (const link of this.links) {
-      if (
-        link.alive(now) &&
-        link.status?.leading &&
-        link.status.term >= highestTerm(this.membership.election)
-      ) {
-        return link;
-      }
-    }
-    return null;
+    const term = highestTerm(this.membership.election);
+    const current = this.links.filter((l) => l.alive(now) && l.status !== null && l.status.term >= term);
+    return current.find((l) => l.status?.leading) ?? current.find((l) => l.status?.holding) ?? null;
+  }
+
+  /** Somebody knows the whole cluster: this controller, or one that it can reach. */
+  leaderInReach(now: Steady): boolean {
+    return (this.leading()?.core ?? null) !== null || this.leaderLink(now) !== null;
+  }
+
+  /** Machines that reported to us themselves, and now are silent, with what they last held. */
+  silentFor(ms: number, now: Steady): [MachineId, Report['tasks']][] {
+    const silent = [...this.lastReports].filter(([, r]) => now - r.at >= ms);
+    return silent.map(([id, r]) => [id, r.tasks]);
+  }
+
+  /** Of these, the ones that reported to us lately. */
+  heardOf(machines: string[]): MachineId[] {
+    const since = this.clock() - this.platform.workers.leaseS * 1000;
+    return (machines as MachineId[]).filter((id) => (this.lastReports.get(id)?.at ?? -Infinity) > since);
+  }
+
+  forgetReport(id: MachineId): void {
+    this.lastReports.delete(id);
   }
 
   private count(outcome: Outcome, now: Steady): void {
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -13,6 +13,7 @@
 import { LeaderLoop } from './leader-loop.js';
 import { Logger } from './logger.js';
 import { Membership } from './membership.js';
+import { OverdueFences } from './overdue-fences.js';
 import { PeerLink, answerPeer, type PeerRequest, type PeerResponse, type PeerStatus } from './peer-link.js';
 import { STATUS_CONNECTIONS, socketBudget } from './sockets.js';
 import { StateClient, reserves } from './state-client.js';
@@ -33,6 +34,7 @@
 const FORWARD_TIMEOUT_MS = 2000;
 const USERS_LOG_MS = 10_000;
 const HINTS_MS = 1000;
+const FENCE_CHECK_MS = 1000;
 /** The leader's part of the state service's budget. */
 const leaderShare = 0.6;
 
@@ -58,6 +60,7 @@
   private readonly cancelled: CancellationFeed;
   private readonly users: UserApi;
   private readonly checkin: Checkin;
+  private readonly fences: OverdueFences;
   private readonly random: () => number;
   private readonly sockets;
   private loop: LeaderLoop | null = null;
@@ -108,6 +111,15 @@
       () => this.stateOk(),
       this.cancelled,
     );
+    this.fences = new OverdueFences(
+      platform,
+      this.checkin,
+      this.cancelled,
+      this.links,
+      this.cloud,
+      () => this.stateOk(),
+      this.log,
+    );
   }
 
   start(): void {
@@ -137,6 +149,7 @@
     for (const link of this.links) link.start();
     this.membership.start();
     this.cancelled.start();
+    setInterval(() => void this.fences.check(), FENCE_CHECK_MS);
     void this.keepTypes();
     setInterval(() => this.shareHints(), HINTS_MS);
     setInterval(() => this.checkHearing(), 500);
@@ -247,6 +260,7 @@
     return {
       node: this.platform.name,
       leading: authority && this.loop !== null,
+      holding: this.membership.holdsLease && (this.loop?.core ?? null) !== null,
       term: highestTerm(this.membership.election),
       stateOk: this.stateOk(),
       hearing: this.checkin.hearing,
@@ -256,9 +270,8 @@
 
   private heard(s: PeerStatus): void {
     if (typeof s.leaderSeenAgoMs === 'number') this.checkin.sawLeader(s.leaderSeenAgoMs);
-    if (!s.leading) return;
-    this.membership.learn(s.node, s.term);
-    this.checkin.sawLeader();
+    if (s.leading || s.holding) this.membership.learn(s.node, s.term);
+    if (s.leading) this.checkin.sawLeader();
   }
 
   private async answer(q: PeerRequest): Promise<PeerResponse> {
@@ -275,7 +288,7 @@
         return { status: r.status, body: r.body ?? Buffer.alloc(0), quiet: r.quiet };
       }
       case 'vouch': {
-        const own = this.membership.authority && this.membership.election.held?.term === q.term;
+        const own = this.membership.election.held?.term === q.term;
         return { full: own && Array.isArray(q.machines) ? (this.loop?.vouched(q.machines) ?? null) : null };
       }
       case 'user': {
@@ -291,6 +304,8 @@
         const r = await this.users.handle(message);
         return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
       }
+      case 'heard':
+        return { heard: Array.isArray(q.machines) ? this.checkin.heardOf(q.machines) : [] };
       case 'hints':
         if (isHints(q.images)) this.hints.merge(q.images, performance.now());
         return {};
--- /dev/null
+++ b/src/runtime/overdue-fences.ts
@@ -0,0 +1,92 @@
+// Guards against a cancelled task on a machine that hangs while nobody leads: the leader ended, and in an outage of
+// the state service none can follow it. A hanging worker heeds no stop, and does not notice the end of its lease.
+import type { CancellationFeed } from './cancellation-feed.js';
+import type { Checkin } from './checkin.js';
+import type { CloudClient } from './cloud-client.js';
+import type { Logger } from './logger.js';
+import type { PeerLink } from './peer-link.js';
+import type { Platform } from '../config/platform.js';
+import type { MachineId, Steady } from '../core/units.js';
+
+/** Later than a leader would, were there one. */
+const OVERDUE_CANCELS = 0.6;
+const ASK_TIMEOUT_MS = 1500;
+const MOST_RETURNED = 100;
+
+/** Within this time a controller that was ended and its workers have found one another again. */
+const SETTLING_LEASES = 1.5;
+
+export class OverdueFences {
+  private open = false;
+  private readonly startedAt: Steady;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly checkin: Checkin,
+    private readonly cancelled: Pick<CancellationFeed, 'learned' | 'someLearned'>,
+    private readonly links: PeerLink[],
+    private readonly cloud: Pick<CloudClient, 'giveBack' | 'list'>,
+    private readonly stateOk: () => boolean,
+    private readonly log: Logger,
+    private readonly clock: () => Steady = () => performance.now() as Steady,
+  ) {
+    this.startedAt = clock();
+  }
+
+  /** To be called regularly. */
+  async check(): Promise<void> {
+    const now = this.clock();
+    if (this.open || this.checkin.leaderInReach(now)) return;
+    const { cancelS } = this.platform.workers;
+    const before = (now - cancelS * 1000 * OVERDUE_CANCELS) as Steady;
+    if (!this.cancelled.someLearned((now - cancelS * 2000) as Steady, before)) return;
+    this.open = true;
+    try {
+      await this.fence(this.knownToHold(before, now), await this.unheard(now));
+    } finally {
+      this.open = false;
+    }
+  }
+
+  private knownToHold(before: Steady, now: Steady): MachineId[] {
+    return this.checkin
+      .silentFor(this.platform.workers.leaseS * 1000, now)
+      .filter(([, tasks]) =>
+        tasks.some((t) => t.state !== 'exited' && (this.cancelled.learned(t.job) ?? Infinity) < before),
+      )
+      .map(([id]) => id);
+  }
+
+  /**
+   * Machines of which nothing is known here. What they held was told to a controller that has ended, and the roster
+   * can't be read in an outage: one that reports to nobody may hang with any task.
+   */
+  private async unheard(now: Steady): Promise<MachineId[]> {
+    const settlingMs = this.platform.workers.leaseS * 1000 * SETTLING_LEASES;
+    if (this.stateOk() || now - this.startedAt < settlingMs) return [];
+    const listed = await this.cloud.list();
+    const up = (listed ?? []).filter((m) => m.status === 'running').map((m) => m.id);
+    const heard = new Set(this.checkin.heardOf(up));
+    return up.filter((id) => !heard.has(id));
+  }
+
+  private async fence(known: MachineId[], unheard: MachineId[]): Promise<void> {
+    const machines = [...new Set([...known, ...unheard])].slice(0, MOST_RETURNED);
+    if (machines.length === 0) return;
+    // They may report to another controller by now, which tells them to stop.
+    const answers = await Promise.all(
+      this.links.map((l) => l.ask({ kind: 'heard', machines }, ASK_TIMEOUT_MS)),
+    );
+    const heard = new Set(
+      answers.flatMap((a) => (Array.isArray(a?.['heard']) ? (a['heard'] as unknown[]) : [])),
+    );
+    for (const id of machines) if (heard.has(id)) this.checkin.forgetReport(id);
+    // Whom a controller out of reach may hear is spared, unless we know that it holds such a task.
+    const all = answers.every((a) => Array.isArray(a?.['heard']));
+    const silent = machines.filter((id) => !heard.has(id) && (all || known.includes(id)));
+    if (silent.length === 0) return;
+    const ok = await this.cloud.giveBack(silent);
+    this.log.info({ machines: silent, ok }, 'silent with a cancelled task, and no leader: fenced');
+    if (ok) for (const id of silent) this.checkin.forgetReport(id);
+  }
+}
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -21,6 +21,8 @@
 export interface PeerStatus {
   node: NodeName;
   leading: boolean;
+  /** It holds the leader's lease and knows the cluster, with or without authority: in an outage nobody has any. */
+  holding: boolean;
   term: Term;
   stateOk: boolean;
   /** Workers reach it themselves. */
@@ -32,6 +34,8 @@
   /** `have`: how much of the answerer's log of cancellations the asker holds. */
   | { kind: 'heartbeat'; from: PeerStatus; have: LogPosition | null }
   | { kind: 'cancelled'; jobs: string[] }
+  /** Which of these machines reported to the answerer itself lately? */
+  | { kind: 'heard'; machines: string[] }
   | { kind: 'relay'; report: Uint8Array }
   | { kind: 'vouch'; term: Term; machines: Vouch[] }
   | { kind: 'user'; method: string; target: string; body: Uint8Array }
--- a/src/test/sim/checker.ts
+++ b/src/test/sim/checker.ts
@@ -11,6 +11,10 @@
 export class Checker {
   readonly broken: string[] = [];
   starts = 0;
+  /** Not a rule, but counted: starts after a user was told that the job is cancelled. */
+  startsAfterCancel = 0;
+  /** The last task of a job has completed. */
+  onCompleted: (job: JobId) => void = () => undefined;
   private readonly places = new Set<Place>();
   private readonly cancelledAt = new Map<JobId, number>();
   private readonly completed = new Map<JobId, Set<number>>();
@@ -46,6 +50,7 @@
     this.places.add(place);
     this.checkQuota(spec);
     const cancelled = this.cancelledAt.get(job);
+    if (cancelled !== undefined) this.startsAfterCancel++;
     if (cancelled !== undefined && this.now() - cancelled > this.cancelS * 1000) {
       this.report('ran_cancelled', `${job}/${index} started`);
     }
@@ -60,6 +65,7 @@
     const set = this.completed.get(job) ?? new Set();
     set.add(index);
     this.completed.set(job, set);
+    if (set.size === this.specs.get(job)!.tasks) this.onCompleted(job);
   }
 
   toldCancelled(job: JobId): void {
@@ -78,6 +84,19 @@
     if (status === 'done' || status === 'withdrawn') this.toldFinal.set(job, status);
   }
 
+  machinesOf(job: JobId): string[] {
+    return [...this.places].filter((p) => p.job === job).map((p) => p.machine.id);
+  }
+
+  forgotten(job: JobId, how: string): void {
+    this.report('forgotten', `${job}: ${how}`);
+  }
+
+  /** Called cancelled, though its user never asked for it. */
+  calledOffUnasked(job: JobId): void {
+    this.report('went_back', `${job}: withdrawn unasked`);
+  }
+
   accepted(job: JobId): void {
     if (!this.acceptedAt.has(job)) this.acceptedAt.set(job, this.now());
   }
--- a/src/test/sim/clock.ts
+++ b/src/test/sim/clock.ts
@@ -24,14 +24,18 @@
     this.after(ms, again);
   }
 
+  /** Runs the next event, if there is one by then. */
+  step(end: number): boolean {
+    const next = this.queue.peek();
+    if (!next || next.at > end) return false;
+    this.queue.pop();
+    this.now = next.at;
+    next.run();
+    return true;
+  }
+
   runUntil(end: number): void {
-    for (;;) {
-      const next = this.queue.peek();
-      if (!next || next.at > end) break;
-      this.queue.pop();
-      this.now = next.at;
-      next.run();
-    }
+    while (this.step(end));
     this.now = end;
   }
 }
--- /dev/null
+++ b/src/test/sim/host.ts
@@ -0,0 +1,127 @@
+// Hosts on virtual time: what runs on one is paused, killed and restarted with it. The controllers' own modules run
+// unchanged: Node's timers, clocks and `net` are replaced for the whole test process, and answer by host.
+import { AsyncLocalStorage } from 'node:async_hooks';
+import net from 'node:net';
+import { syncBuiltinESMExports } from 'node:module';
+import { VirtualClock } from './clock.js';
+import type { Network } from './network.js';
+
+const EPOCH = 1_700_000_000_000;
+const drain = setImmediate;
+
+/** One run of a process (or a stand-in) at an address. */
+export class Host {
+  alive = true;
+  private frozen = false;
+  private deferred: (() => void)[] = [];
+  onKilled: (() => void)[] = [];
+
+  constructor(
+    readonly world: World,
+    readonly ip: string,
+    /** Steady clocks of different processes have nothing in common. */
+    readonly steadyOffset: number,
+    /** The time of day is off by this. */
+    readonly wallOffset: number,
+  ) {}
+
+  run(f: () => void): void {
+    if (!this.alive) return;
+    if (this.frozen) this.deferred.push(f);
+    else this.world.als.run(this, f);
+  }
+
+  kill(): void {
+    this.alive = false;
+    this.deferred = [];
+    for (const f of this.onKilled.splice(0)) f();
+  }
+
+  /** Stands still while its clocks run on. */
+  freeze(ms: number): void {
+    this.frozen = true;
+    this.world.clock.after(ms, () => {
+      this.frozen = false;
+      for (const f of this.deferred.splice(0)) this.run(f);
+    });
+  }
+}
+
+interface Timer {
+  cancelled: boolean;
+  unref: () => Timer;
+  ref: () => Timer;
+}
+
+export class World {
+  readonly clock = new VirtualClock();
+  readonly als = new AsyncLocalStorage<Host>();
+  private hosts = 0;
+
+  host(ip: string, wallOffset = 0): Host {
+    return new Host(this, ip, 1000 + 7919 * ++this.hosts, wallOffset);
+  }
+
+  /** Replaces what Node offers a process; returns what puts it back. */
+  install(network: Network): () => void {
+    const { setTimeout, clearTimeout, setInterval, clearInterval } = globalThis;
+    const { connect, createServer } = net;
+    const perfNow = performance.now.bind(performance);
+    const dateNow = Date.now;
+    const timer = (): Timer => {
+      const t: Timer = { cancelled: false, unref: () => t, ref: () => t };
+      return t;
+    };
+    const after = (ms: number, t: Timer, f: () => void): void => {
+      const host = this.als.getStore();
+      this.clock.after(Number.isFinite(ms) ? ms : 0, () => {
+        if (t.cancelled) return;
+        if (host) host.run(() => (t.cancelled ? undefined : f()));
+        else f();
+      });
+    };
+    const fakes = {
+      setTimeout: (f: () => void, ms = 0) => {
+        const t = timer();
+        after(ms, t, f);
+        return t;
+      },
+      setInterval: (f: () => void, ms = 0) => {
+        const t = timer();
+        const again = (): void => {
+          f();
+          if (!t.cancelled) after(ms, t, again);
+        };
+        after(ms, t, again);
+        return t;
+      },
+      clearTimeout: (t?: Timer) => {
+        if (t) t.cancelled = true;
+      },
+      clearInterval: (t?: Timer) => {
+        if (t) t.cancelled = true;
+      },
+    };
+    Object.assign(globalThis, fakes);
+    performance.now = () => this.clock.now + (this.als.getStore()?.steadyOffset ?? 0);
+    Date.now = () => EPOCH + this.clock.now + (this.als.getStore()?.wallOffset ?? 0);
+    Object.assign(net, {
+      connect: (o: { host: string; port: number }) => network.connect(this.als.getStore()!, o),
+      createServer: (f: (s: net.Socket) => void) => network.createServer(this.als.getStore()!, f),
+    });
+    syncBuiltinESMExports();
+    return () => {
+      Object.assign(globalThis, { setTimeout, clearTimeout, setInterval, clearInterval });
+      performance.now = perfNow;
+      Date.now = dateNow;
+      Object.assign(net, { connect, createServer });
+      syncBuiltinESMExports();
+    };
+  }
+
+  /** Runs events in order, and after each one whatever promises it settled. */
+  async runUntil(end: number): Promise<void> {
+    while (this.clock.step(end)) await new Promise((r) => drain(r));
+    this.clock.now = end;
+  }
+}
--- /dev/null
+++ b/src/test/sim/meeting.ts
@@ -0,0 +1,81 @@
+// A day on which troubles meet, for the tests: work of all kinds on machines that are up, then the meeting, then a
+// time without troubles.
+import assert from 'node:assert/strict';
+import { jobSpec, types } from './day.js';
+import { ServiceSim, type Setup } from './service.js';
+import type { JobSpec, TeamLimits } from '../../core/types.js';
+import type { JobId, Team } from '../../core/units.js';
+
+const LONG_MS = 100_000;
+
+export const teams: TeamLimits[] = [
+  { name: 'green' as Team, cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 },
+  { name: 'blue' as Team, cpus: 0, cpusMax: 0, gpus: 4, gpusMax: 8 },
+];
+
+export interface Meeting {
+  sim: ServiceSim;
+  /** Submits a job; runMs: how long each of its tasks runs. */
+  submit: (over?: Partial<JobSpec>, runMs?: number) => JobId;
+  random: () => number;
+}
+
+/** Jobs that run for long: arrays, gangs and a service. */
+export const mixedWork = (m: Meeting): JobId[] => [
+  ...[1, 2, 3, 4].map((tasks) => m.submit({ tasks })),
+  m.submit({ kind: 'gang', tasks: 2, team: 'blue' as Team }),
+  m.submit({ kind: 'gang', tasks: 3, oneZone: true, team: 'blue' as Team, priority: 'high' }),
+  m.submit({ kind: 'service', tasks: 2, spread: true, estimateS: 0, priority: 'production' }),
+];
+
+interface Options {
+  seeds?: number[];
+  over?: Partial<Setup>;
+  /** When all troubles are over, and when the day ends. */
+  quietMs: number;
+  endMs: number;
+}
+
+/** Plays the meeting with several seeds; no rule may break, and every job that is not cancelled must have ended. */
+export const playMeeting = async (
+  { seeds = [1, 2, 3], over = {}, quietMs, endMs }: Options,
+  script: (m: Meeting) => void,
+): Promise<void> => {
+  for (const seed of seeds) {
+    const durations = new Map<JobId, number>();
+    const sim = new ServiceSim({
+      seed,
+      zones: ['east', 'west'],
+      controllers: ['east', 'west', 'east'],
+      teams,
+      types,
+      capacity: 40,
+      up: { type: 'small', perZone: 8 },
+      runMs: (job) => durations.get(job)!,
+      ...over,
+    });
+    let jobs = 0;
+    const submit = (spec: Partial<JobSpec> = {}, runMs = LONG_MS): JobId => {
+      const id = `wk-${++jobs}` as JobId;
+      durations.set(id, runMs);
+      sim.submit(jobSpec(id, spec));
+      return id;
+    };
+    try {
+      script({ sim, submit, random: sim.random });
+      await sim.run(quietMs);
+      await sim.settle(endMs);
+      const unfinished = [...sim.users]
+        .filter(([, u]) => u.accepted && u.spec.kind !== 'service')
+        .filter(([, u]) => u.status !== 'done' && u.status !== 'withdrawn')
+        .map(([id, u]) => `${id} ${u.status}`);
+      assert.deepEqual(
+        { seed, broken: sim.checker.broken, unfinished },
+        { seed, broken: [], unfinished: [] },
+      );
+      assert.ok(sim.checker.starts > 0);
+    } finally {
+      sim.end();
+    }
+  }
+};
--- /dev/null
+++ b/src/test/sim/serve.ts
@@ -0,0 +1,36 @@
+// A plain HTTP server for the stand-ins, written from the published protocol.
+import { createServer } from 'node:net';
+import type { Host } from './host.js';
+import { parseAddress } from '../../config/platform.js';
+import { HttpParser, type HttpMessage } from '../../runtime/http-parser.js';
+import { decode, encode } from '../../wire/cbor.js';
+
+export interface Answer {
+  status: number;
+  body?: unknown;
+}
+export type Handler = (q: HttpMessage, body: unknown, from: string) => Promise<Answer | null>;
+
+const limits = { headerBytes: 8192, headerCount: 64, bodyBytes: 1 << 24 };
+
+/** Null: the request gets no answer. */
+export const serve = (host: Host, address: string, handle: Handler): void => {
+  host.run(() => {
+    createServer((socket) => {
+      const from = (socket as unknown as { other: string }).other;
+      const parser = new HttpParser('request', limits);
+      socket.on('data', (chunk) => {
+        for (const q of parser.push(chunk)) {
+          const body: unknown = q.body.length > 0 ? decode(q.body) : {};
+          void handle(q, body, from).then((a) => {
+            if (!a) return;
+            const bytes = encode(a.body ?? {});
+            const head = `HTTP/1.1 ${a.status} X\r\nContent-Length: ${bytes.length}\r\n\r\n`;
+            socket.write(Buffer.concat([Buffer.from(head, 'latin1'), bytes]));
+          });
+        }
+      });
+      socket.on('error', () => socket.destroy());
+    }).listen(parseAddress(address));
+  });
+};
--- /dev/null
+++ b/src/test/sim/service.ts
@@ -0,0 +1,242 @@
+// Whole controllers on virtual time, between stand-ins for all they talk to, with a checker of the rules: troubles can
+// meet here as they do between real hosts.
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { Checker } from './checker.js';
+import { CloudService } from './cloud-service.js';
+import { World, type Host } from './host.js';
+import { Network, type Trouble } from './network.js';
+import { StateService } from './state-service.js';
+import { User } from './user.js';
+import { WorkerHost } from './worker-host.js';
+import type { Gang, WorldView } from './worker.js';
+import { checkOperator } from '../../config/operator.js';
+import { parseAddress, type Platform } from '../../config/platform.js';
+import type { JobSpec, MachineInfo, MachineType, TeamLimits } from '../../core/types.js';
+import type { JobId, MachineId, NodeName, TypeName, Zone } from '../../core/units.js';
+import { Controller } from '../../runtime/controller.js';
+import { HttpClient } from '../../runtime/http-client.js';
+
+const STATE = '10.2.0.1';
+const CLOUD = '10.2.0.2';
+const CLOCK_ERROR_MS = 100;
+const FORGOTTEN_MS = 75_000;
+
+export interface Setup {
+  seed: number;
+  zones: string[];
+  /** The zone of each controller. */
+  controllers: string[];
+  teams: TeamLimits[];
+  types: MachineType[];
+  /** How many machines the cloud has. */
+  capacity: number;
+  /** Machines that are up before the first controller starts, in each zone of their type. */
+  up?: { type: string; perZone: number };
+  runMs: (job: JobId) => number;
+  workers?: Partial<Platform['workers']>;
+}
+
+interface Process {
+  name: NodeName;
+  ip: string;
+  platform: Platform;
+  host: Host;
+}
+
+export class ServiceSim {
+  readonly world = new World();
+  readonly network = new Network(this.world);
+  readonly checker: Checker;
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly workers = new Map<MachineId, WorkerHost>();
+  readonly users = new Map<JobId, User>();
+  readonly processes: Process[];
+  readonly random: () => number;
+  private readonly specs = new Map<JobId, JobSpec>();
+  private readonly restore: () => void;
+  private readonly usersHost: Host;
+  private readonly times: Platform['workers'];
+
+  constructor(private readonly setup: Setup) {
+    process.env['LOG_LEVEL'] ??= 'error';
+    const rng = xoroshiro128plus(setup.seed);
+    this.random = () => uniformFloat64(rng);
+    this.restore = this.world.install(this.network);
+    const { clock } = this.world;
+    this.times = { reportS: 1.5, leaseS: 10, gangWaitS: 40, gangPeerS: 4, cancelS: 40, ...setup.workers };
+    this.checker = new Checker(this.specs, setup.teams, this.times.cancelS, () => clock.now);
+    this.usersHost = this.world.host('10.3.0.1');
+    this.state = new StateService(this.world.host(STATE), `${STATE}:2379`, this.random);
+    const gangs = new Map<string, Gang>();
+    const view: WorldView = {
+      clock,
+      checker: this.checker,
+      times: this.times,
+      specs: this.specs,
+      gangs,
+      capacity: (type) => setup.types.find((t) => t.name === type)!,
+      runMs: setup.runMs,
+      fetchMs: () => 1000 + this.random() * 3000,
+    };
+    this.processes = setup.controllers.map((zone, i) => this.describe(i, zone));
+    const addresses = this.processes.map((p) => ({ name: p.name, address: `${p.ip}:8080` }));
+    const up = (info: MachineInfo): void => {
+      const host = this.world.host(parseAddress(info.endpoint).host);
+      this.workers.set(info.id, new WorkerHost(host, info, view, addresses, this.random));
+    };
+    const gone = (id: MachineId): void => {
+      this.workers.get(id)?.end();
+      this.workers.delete(id);
+    };
+    const cloudHost = this.world.host(CLOUD);
+    this.cloud = new CloudService(cloudHost, `${CLOUD}:8443`, setup.types, setup.capacity, 4000, {
+      up,
+      gone,
+    });
+    clock.every(500, () => this.checker.sweep());
+    const first = setup.types.find((t) => t.name === setup.up?.type);
+    for (const zone of first?.zones ?? [])
+      for (let i = 0; i < (setup.up?.perZone ?? 0); i++)
+        this.cloud.add(first!.name as TypeName, zone, false, 0);
+    for (const p of this.processes) this.boot(p);
+  }
+
+  private describe(i: number, zone: string): Process {
+    const ip = `10.0.0.${i + 1}`;
+    const name = `stable-${i}` as NodeName;
+    const platform: Platform = {
+      name,
+      zone: zone as Zone,
+      publicAddr: { host: ip, port: 8080 },
+      internalAddr: { host: ip, port: 8081 },
+      peers: this.setup.controllers
+        .map((z, j) => ({
+          name: `stable-${j}` as NodeName,
+          zone: z as Zone,
+          address: { host: `10.0.0.${j + 1}`, port: 8081 },
+        }))
+        .filter((_, j) => j !== i),
+      cloud: { host: CLOUD, port: 8443 },
+      state: { host: STATE, port: 2379 },
+      zones: this.setup.zones as Zone[],
+      clockErrorMs: CLOCK_ERROR_MS,
+      teams: this.setup.teams,
+      objectives: [],
+      workers: this.times,
+      stateLimits: { rps: 200, writeRps: 60, valueKb: 8, txnOps: 12 },
+      cloudLimits: { rps: 6, listLagS: 4 },
+      limits: { cpu: 0.25, memoryMb: 146, sockets: 1000 },
+    };
+    return { name, ip, platform, host: this.world.host(ip) };
+  }
+
+  private boot(p: Process): void {
+    p.host = this.world.host(p.ip, (this.random() - 0.5) * 2 * CLOCK_ERROR_MS);
+    p.host.run(() => new Controller(p.platform, checkOperator({})).start());
+  }
+
+  // ---- what happens ----------------------------------------------------------------------------------------
+
+  at(ms: number, f: () => void): void {
+    this.world.clock.after(ms - this.now, f);
+  }
+
+  get now(): number {
+    return this.world.clock.now;
+  }
+
+  submit(spec: JobSpec): User {
+    this.specs.set(spec.id, spec);
+    const addresses = this.processes.map((p) => `${p.ip}:8080`);
+    const user = new User(this.usersHost, spec, addresses, this.checker, this.random);
+    this.users.set(spec.id, user);
+    user.start();
+    return user;
+  }
+
+  cancel(id: JobId): void {
+    this.users.get(id)!.cancel();
+  }
+
+  /** Who the state service names as the leader. */
+  get leader(): Process | null {
+    const node = (this.state.items.get('l/leader')?.data as { node?: string } | undefined)?.node;
+    return this.processes.find((p) => p.name === node) ?? null;
+  }
+
+  restart(p: Process, afterMs: number): void {
+    p.host.kill();
+    this.world.clock.after(afterMs, () => this.boot(p));
+  }
+
+  refuseLeader(forMs: number): void {
+    if (this.leader) this.state.refuse(this.leader.ip, forMs);
+  }
+
+  /** Cuts a controller from its peers. */
+  cutPeers(p: Process, trouble: Trouble, forMs: number): void {
+    const others = this.processes.filter((q) => q !== p).map((q) => q.ip);
+    this.network.cut([p.ip], others, trouble, forMs);
+  }
+
+  cutState(p: Process, forMs: number): void {
+    this.network.cut([p.ip], [STATE], 'hold', forMs);
+  }
+
+  /** Machines and controllers of a zone from everything outside of it. */
+  cutZone(zone: string, trouble: Trouble, forMs: number): void {
+    const inside = [...this.workers.values()].filter((w) => w.info.zone === zone).map((w) => w.host.ip);
+    const controllers = this.processes.filter((p) => p.platform.zone === zone).map((p) => p.ip);
+    const outside = this.processes.filter((p) => p.platform.zone !== zone).map((p) => p.ip);
+    this.network.cut(
+      [...inside, ...controllers],
+      [...outside, STATE, CLOUD, this.usersHost.ip],
+      trouble,
+      forMs,
+    );
+  }
+
+  /** Of that share of the reports a copy arrives again at some controller, up to well over a lease later. */
+  lateReports(share: number, forMs: number): void {
+    const until = this.now + forMs;
+    const copier = this.world.host('10.3.0.2');
+    const clients = this.processes.map((p) => new HttpClient(p.platform.publicAddr, 8, 1000));
+    for (const w of this.workers.values()) {
+      w.copy = (body) => {
+        if (this.now > until || this.random() >= share) return;
+        const bytes = Buffer.from(body);
+        const to = clients[Math.floor(this.random() * clients.length)]!;
+        const delayMs = 2000 + this.random() * this.times.leaseS * 2000;
+        this.at(this.now + delayMs, () => copier.run(() => void to.request('POST', '/checkin', bytes, 4000)));
+      };
+    }
+  }
+
+  /** Machines on which a task of this job is. */
+  machinesOf(id: JobId): WorkerHost[] {
+    const ids = new Set(this.checker.machinesOf(id));
+    return [...this.workers.values()].filter((w) => ids.has(w.info.id));
+  }
+
+  async run(untilMs: number): Promise<void> {
+    await this.world.runUntil(untilMs);
+  }
+
+  /** Troubles over: jobs of which no question is answered for 75 s are forgotten. */
+  async settle(untilMs: number): Promise<void> {
+    const from = this.now;
+    await this.run(untilMs);
+    for (const [id, u] of this.users) {
+      if (!u.accepted || u.status === 'done' || u.status === 'withdrawn') continue;
+      if (this.now - Math.max(from, u.answeredAt) > FORGOTTEN_MS)
+        this.checker.forgotten(id, 'no question answered');
+    }
+  }
+
+  end(): void {
+    for (const p of this.processes) p.host.kill();
+    this.restore();
+  }
+}
--- /dev/null
+++ b/src/test/sim/state-service.ts
@@ -0,0 +1,182 @@
+// Stand-in for the state service: transactions, leases, watches; outages, refusals of one host, late transactions.
+import type { Host } from './host.js';
+import { serve, type Answer } from './serve.js';
+
+interface Item {
+  data: unknown;
+  stamp: number;
+  permit?: number;
+}
+interface Lease {
+  ttlMs: number;
+  endsAt: number;
+}
+type Change = { put: string; data: unknown; permit?: number | bigint } | { delete: string };
+interface Multi {
+  if: { key: string; stamp: number | bigint }[];
+  then: Change[];
+}
+
+const SWEEP_MS = 50;
+const trouble: Answer = { status: 503, body: { error: 'trouble' } };
+
+export class StateService {
+  readonly items = new Map<string, Item>();
+  private readonly leases = new Map<number, Lease>();
+  private readonly log: (
+    { put: string; data: unknown; stamp: number } | { delete: string; stamp: number }
+  )[] = [];
+  private ledger = 1;
+  private nextLease = 1;
+  private down = false;
+  private readonly refused = new Set<string>();
+  private lateShare = 0;
+  private watchers: (() => void)[] = [];
+  /** Transactions without an answer that were carried out late. */
+  late = 0;
+
+  constructor(
+    private readonly host: Host,
+    address: string,
+    private readonly random: () => number,
+  ) {
+    serve(host, address, async (q, body, from) => {
+      const out = (): boolean => this.down || this.refused.has(from);
+      if (out()) return trouble;
+      return this.answer(q.method, q.target, body, out);
+    });
+    host.run(() => setInterval(() => this.sweep(), SWEEP_MS));
+  }
+
+  outage(forMs: number): void {
+    this.down = true;
+    this.host.world.clock.after(forMs, () => {
+      this.down = false;
+      for (const l of this.leases.values()) l.endsAt = this.now + l.ttlMs;
+      this.wake();
+    });
+  }
+
+  refuse(ip: string, forMs: number): void {
+    this.refused.add(ip);
+    this.host.world.clock.after(forMs, () => {
+      this.refused.delete(ip);
+      this.wake();
+    });
+  }
+
+  lateWrites(share: number, forMs: number): void {
+    this.lateShare = share;
+    this.host.world.clock.after(forMs, () => (this.lateShare = 0));
+  }
+
+  private get now(): number {
+    return this.host.world.clock.now;
+  }
+
+  private wake(): void {
+    for (const w of this.watchers.splice(0)) w();
+  }
+
+  private sweep(): void {
+    if (this.down) return;
+    for (const [id, l] of this.leases) if (this.now > l.endsAt + SWEEP_MS) this.endLease(id);
+  }
+
+  private endLease(id: number): void {
+    if (!this.leases.delete(id)) return;
+    const keys = [...this.items].filter(([, i]) => i.permit === id).map(([k]) => k);
+    if (keys.length > 0) this.apply(keys.map((key) => ({ delete: key })));
+  }
+
+  private apply(changes: Change[]): void {
+    const stamp = ++this.ledger;
+    for (const c of changes) {
+      if ('put' in c) {
+        const permit = c.permit === undefined ? {} : { permit: Number(c.permit) };
+        this.items.set(c.put, { data: c.data, stamp, ...permit });
+        this.log.push({ put: c.put, data: c.data, stamp });
+      } else if (this.items.delete(c.delete)) this.log.push({ delete: c.delete, stamp });
+    }
+    this.wake();
+  }
+
+  private transact(t: Multi): Answer {
+    const failed = t.if
+      .filter((c) => (this.items.get(c.key)?.stamp ?? 0) !== Number(c.stamp))
+      .map((c) => c.key);
+    if (failed.length > 0) return { status: 409, body: { failed, ledger: this.ledger } };
+    for (const c of t.then) {
+      if ('put' in c && c.permit !== undefined && !this.leases.has(Number(c.permit)))
+        return { status: 400, body: { error: 'no such lease' } };
+    }
+    if (t.then.length > 0) this.apply(t.then);
+    return { status: 200, body: { ledger: this.ledger } };
+  }
+
+  private async answer(
+    method: string,
+    target: string,
+    body: unknown,
+    out: () => boolean,
+  ): Promise<Answer | null> {
+    const [path = '', search = ''] = target.split('?');
+    const query = new URLSearchParams(search);
+    if (path === '/multi') {
+      if (this.random() < this.lateShare) {
+        this.late++;
+        this.host.world.clock.after(2000 + this.random() * 10_000, () => this.transact(body as Multi));
+        return null;
+      }
+      return this.transact(body as Multi);
+    }
+    if (path === '/leases') {
+      const { ttlMs } = body as { ttlMs: number };
+      this.leases.set(this.nextLease, { ttlMs, endsAt: this.now + ttlMs });
+      return { status: 200, body: { permit: this.nextLease++ } };
+    }
+    const lease = /^\/leases\/(\d+)(\/extend)?$/.exec(path);
+    if (lease) {
+      const id = Number(lease[1]);
+      const held = this.leases.get(id);
+      if (method === 'DELETE') this.endLease(id);
+      else if (!held) return { status: 404 };
+      else held.endsAt = this.now + held.ttlMs;
+      return { status: 200 };
+    }
+    if (path === '/changes') return this.changes(query, out);
+    const under = query.get('under');
+    if (path === '/store' && under !== null) return this.list(under, query);
+    const item = this.items.get(path.slice('/store/'.length));
+    if (!item) return { status: 404, body: { ledger: this.ledger } };
+    return { status: 200, body: { key: path.slice('/store/'.length), ...item } };
+  }
+
+  private list(under: string, query: URLSearchParams): Answer {
+    const since = query.get('since') ?? '';
+    const most = Number(query.get('most') ?? 1000);
+    const all = [...this.items]
+      .filter(([k]) => k.startsWith(under) && k > since)
+      .sort(([a], [b]) => (a < b ? -1 : 1));
+    const items = all.slice(0, most).map(([key, i]) => ({ key, ...i }));
+    return { status: 200, body: { items, more: all.length > most, ledger: this.ledger } };
+  }
+
+  /** An open watch stays open through an outage, and through a refusal of its host. */
+  private async changes(query: URLSearchParams, out: () => boolean): Promise<Answer> {
+    const under = query.get('under') ?? '';
+    const since = Number(query.get('since'));
+    const until = this.now + Number(query.get('blockMs') ?? 0);
+    for (;;) {
+      const log = this.log.filter(
+        (e) => e.stamp > since && ('put' in e ? e.put : e.delete).startsWith(under),
+      );
+      if (!out() && (log.length > 0 || this.now >= until))
+        return { status: 200, body: { ledger: this.ledger, log } };
+      await new Promise<void>((resolve) => {
+        this.watchers.push(resolve);
+        setTimeout(resolve, out() ? 1000 : Math.max(0, until - this.now));
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/test/sim/user.ts
@@ -0,0 +1,133 @@
+// A user of one job: submits it, asks about it, may call it off; retries as the protocol says, at any controller.
+import type { Checker } from './checker.js';
+import type { Host } from './host.js';
+import { parseAddress } from '../../config/platform.js';
+import type { JobSpec } from '../../core/types.js';
+import { HttpClient } from '../../runtime/http-client.js';
+import { encode, tryDecode } from '../../wire/cbor.js';
+
+const POLL_MS = 5000;
+const gaits = { array: 'array', gang: 'group', service: 'service' };
+
+export const jobBody = (s: JobSpec): Record<string, unknown> => ({
+  nameId: s.id,
+  herd: s.class,
+  outfit: s.team,
+  gait: gaits[s.kind],
+  rank: s.priority,
+  hands: s.tasks,
+  vcpus: s.cpus,
+  accelerators: s.gpus,
+  memGb: s.memoryGb,
+  kit: s.image,
+  sizeGb: s.imageGb,
+  breeds: s.types,
+  pasture: s.zone,
+  oneZone: s.oneZone,
+  spread: s.spread,
+  loaners: s.spot,
+  rideS: s.estimateS,
+  waypointS: s.checkpointS,
+  stowS: s.saveS,
+  dueS: s.deadlineS,
+});
+
+export class User {
+  status = 'not submitted';
+  accepted = false;
+  /** When a question about the job was last answered. */
+  answeredAt = -Infinity;
+  private readonly clients: HttpClient[];
+  private aborting = false;
+
+  constructor(
+    private readonly host: Host,
+    readonly spec: JobSpec,
+    addresses: string[],
+    private readonly checker: Checker,
+    private readonly random: () => number,
+  ) {
+    this.clients = addresses.map((a) => new HttpClient(parseAddress(a), 2, 30_000));
+  }
+
+  start(): void {
+    this.host.run(() => void this.submit());
+  }
+
+  cancel(): void {
+    this.host.run(() => void this.abort());
+  }
+
+  /** The submission and a question once more, at every controller. */
+  repeat(): void {
+    for (const [at] of this.clients.entries()) {
+      this.host.run(() => {
+        void this.ask('POST', '/v1/jobs', jobBody(this.spec), 5000, at).then((r) => this.check(r));
+        void this.ask('GET', `/v1/jobs/${this.spec.id}`, null, 2000, at).then((r) => this.check(r));
+      });
+    }
+  }
+
+  private check(r: { status: number; body: unknown } | null): void {
+    if (!r || !this.accepted) return;
+    if (r.status === 404 || r.status === 400 || r.status === 422)
+      this.checker.forgotten(this.spec.id, String(r.status));
+    else if (r.status === 200) this.take(r);
+  }
+
+  /** Asks one controller, whichever state the job is in. */
+  async ask(
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    at?: number,
+  ): Promise<{ status: number; body: unknown } | null> {
+    const client = this.clients[at ?? Math.floor(this.random() * this.clients.length)]!;
+    const r = await client.request(method, path, body === null ? null : encode(body), timeoutMs);
+    return r.ok ? { status: r.status, body: r.body.length > 0 ? tryDecode(r.body) : {} } : null;
+  }
+
+  private async submit(): Promise<void> {
+    for (let tries = 0; tries < 60 && !this.accepted; tries++) {
+      const r = await this.ask('POST', '/v1/jobs', jobBody(this.spec), 5000);
+      if (r && (r.status === 201 || r.status === 200)) {
+        this.accepted = true;
+        this.checker.accepted(this.spec.id);
+        this.take(r);
+      } else if (r && (r.status === 400 || r.status === 422)) {
+        this.status = String(r.status);
+        return;
+      } else await new Promise((go) => setTimeout(go, 1000));
+    }
+    void this.poll();
+  }
+
+  private async poll(): Promise<void> {
+    while (this.status !== 'done' && this.status !== 'withdrawn') {
+      await new Promise((go) => setTimeout(go, POLL_MS));
+      const r = await this.ask('GET', `/v1/jobs/${this.spec.id}`, null, 2000);
+      if (r?.status === 404 && this.accepted) this.checker.forgotten(this.spec.id, '404');
+      else if (r?.status === 200) this.take(r);
+    }
+  }
+
+  private async abort(): Promise<void> {
+    if (this.aborting) return;
+    this.aborting = true;
+    for (let tries = 0; tries < 90; tries++) {
+      const r = await this.ask('POST', `/v1/jobs/${this.spec.id}/abort`, {}, 5000);
+      if (r?.status === 200) return this.take(r);
+      if (r?.status === 404 && this.accepted) this.checker.forgotten(this.spec.id, '404 to a cancellation');
+      await new Promise((go) => setTimeout(go, 1000));
+    }
+  }
+
+  private take(r: { body: unknown }): void {
+    this.answeredAt = this.host.world.clock.now;
+    this.status = (r.body as { status: string }).status;
+    if (this.status === 'withdrawn' && this.aborting) this.checker.toldCancelled(this.spec.id);
+    else if (this.status === 'withdrawn') this.checker.calledOffUnasked(this.spec.id);
+    else this.checker.told(this.spec.id, this.status);
+  }
+}
--- /dev/null
+++ b/src/test/sim/worker-host.ts
@@ -0,0 +1,149 @@
+// A machine on the simulated network: its worker reports to the controllers and takes direct commands.
+import type { Host } from './host.js';
+import { serve } from './serve.js';
+import { Worker, type WorldView } from './worker.js';
+import { parseAddress } from '../../config/platform.js';
+import type { Command, MachineInfo, Report } from '../../core/types.js';
+import type { Attempt, JobId } from '../../core/units.js';
+import { HttpClient } from '../../runtime/http-client.js';
+import { decode, encode } from '../../wire/cbor.js';
+
+const ANSWER_LIMIT_MS = 4000;
+const LOOK_MS = 500;
+
+interface Call {
+  call: 'run' | 'kill' | 'reap';
+  hand: string;
+  try: number | bigint;
+  slackS?: number;
+}
+
+const commandOf = (c: Call): Command => {
+  const [job = '', index = ''] = c.hand.split('/');
+  const ref = { job: job as JobId, index: Number(index), attempt: Number(c.try) as Attempt };
+  if (c.call === 'run') return { op: 'start', ...ref };
+  return c.call === 'reap' ? { op: 'forget', ...ref } : { op: 'stop', ...ref, graceS: c.slackS ?? 0 };
+};
+
+const stateNames = {
+  fetching: 'pulling',
+  waiting: 'waiting',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+
+const reportBody = (r: Report) => ({
+  stall: r.id,
+  endpoint: r.endpoint,
+  breed: r.type,
+  pasture: r.zone,
+  loaners: r.spot,
+  shift: r.session,
+  tally: r.seq,
+  reins: r.token,
+  recallS: r.noticeS,
+  hands: r.tasks.map((t) => ({
+    hand: `${t.job}/${t.index}`,
+    try: BigInt(t.attempt),
+    status: stateNames[t.state],
+    ...(t.cause ? { cause: t.cause } : {}),
+    stored: t.saved,
+  })),
+});
+
+export class WorkerHost {
+  readonly worker: Worker;
+  /** Its reports reach no controller, while direct commands reach it. */
+  mute = false;
+  /** Given copies of its reports, which arrive again late. */
+  copy: ((body: Buffer) => void) | null = null;
+  private readonly clients = new Map<string, HttpClient>();
+  private at: number;
+  private open = false;
+  private nextAt = 0;
+  private lastTasks = '';
+  private readonly held: (() => void)[] = [];
+
+  constructor(
+    readonly host: Host,
+    readonly info: MachineInfo,
+    view: WorldView,
+    private readonly controllers: { name: string; address: string }[],
+    private readonly random: () => number,
+  ) {
+    this.worker = new Worker(info, view);
+    this.at = Math.floor(random() * controllers.length);
+    serve(host, info.endpoint, async (_q, body) => {
+      if (this.worker.hung) await new Promise<void>((r) => this.held.push(r));
+      if (this.worker.deaf) return null;
+      const o = body as { reins: number; shift: number; calls: Call[] };
+      const r = this.worker.order(Number(o.reins), Number(o.shift), o.calls.map(commandOf));
+      return { status: r.executed ? 200 : 409, body: reportBody(r.report) };
+    });
+    host.run(() => setInterval(() => this.look(), LOOK_MS));
+  }
+
+  hang(forMs: number): void {
+    this.worker.hung = true;
+    this.host.world.clock.after(forMs, () => {
+      this.worker.hung = false;
+      for (const go of this.held.splice(0)) this.host.run(go);
+    });
+  }
+
+  end(): void {
+    this.worker.kill();
+    this.host.kill();
+  }
+
+  private get now(): number {
+    return this.host.world.clock.now;
+  }
+
+  private look(): void {
+    if (this.worker.hung || this.open) return;
+    this.worker.checkLease();
+    const tasks = this.worker.describe();
+    if (this.now < this.nextAt && tasks === this.lastTasks) return;
+    this.lastTasks = tasks;
+    this.nextAt = this.now + this.worker.reportMs * (0.75 + 0.5 * this.random());
+    void this.report();
+  }
+
+  private async report(): Promise<void> {
+    this.open = true;
+    const sentAt = this.now;
+    const { session } = this.worker;
+    const body = encode(reportBody(this.worker.report()));
+    this.copy?.(body);
+    const to = this.controllers[this.at]!;
+    const client = this.clients.get(to.name) ?? new HttpClient(parseAddress(to.address), 1, 60_000);
+    this.clients.set(to.name, client);
+    const r = this.mute
+      ? ({ ok: false } as const)
+      : await client.request('POST', '/checkin', body, ANSWER_LIMIT_MS);
+    if (this.worker.hung) await new Promise<void>((go) => this.held.push(go));
+    this.open = false;
+    if (this.worker.deaf) {
+      await new Promise((go) => setTimeout(go, ANSWER_LIMIT_MS));
+      return this.next(null);
+    }
+    if (!r.ok) return this.next(null);
+    const answer = decode(r.body) as { reins?: number; calls?: Call[]; foreman?: string };
+    if (r.status === 200 && this.now - sentAt <= ANSWER_LIMIT_MS)
+      this.worker.answered(Number(answer.reins), (answer.calls ?? []).map(commandOf), sentAt, session);
+    else if (r.status !== 200) this.next(r.status === 421 ? (answer.foreman ?? null) : null);
+  }
+
+  private next(named: string | null): void {
+    const there = this.controllers.findIndex((c) => c.name === named);
+    if (there >= 0 && there !== this.at) {
+      this.at = there;
+      this.nextAt = this.now;
+      return;
+    }
+    this.at = (this.at + 1) % this.controllers.length;
+    this.nextAt = this.now + 1000;
+  }
+}
--- a/src/test/sim/worker.ts
+++ b/src/test/sim/worker.ts
@@ -51,6 +51,8 @@
   faulty = false;
   /** Its reports arrive, but answers and commands don't reach it. */
   deaf = false;
+  /** Executes nothing, its tasks included, until it goes on. */
+  hung = false;
   private readonly tasks = new Map<string, Held>();
   private leaseFrom: number;
 
@@ -61,6 +63,16 @@
     this.leaseFrom = world.clock.now;
   }
 
+  get reportMs(): number {
+    return this.world.times.reportS * 1000;
+  }
+
+  /** Changes whenever a report would tell something new. */
+  describe(): string {
+    const tasks = [...this.tasks].map(([key, t]) => `${key} ${t.state}`);
+    return `${this.session} ${this.token} ${this.noticeS !== null} ${tasks.join(',')}`;
+  }
+
   report(): Report {
     this.checkLease();
     return {
@@ -95,7 +107,8 @@
   }
 
   checkLease(): void {
-    if (!this.alive || this.world.clock.now - this.leaseFrom <= this.world.times.leaseS * 1000) return;
+    if (!this.alive || this.hung || this.world.clock.now - this.leaseFrom <= this.world.times.leaseS * 1000)
+      return;
     this.session++;
     this.leaseFrom = this.world.clock.now;
     this.dropAll();
@@ -200,6 +213,10 @@
   }
 
   private complete(key: string, held: Held): void {
+    if (this.hung) {
+      this.world.clock.after(1000, () => this.complete(key, held));
+      return;
+    }
     this.checkLease();
     if (this.tasks.get(key) !== held || held.state !== 'running') return;
     if (!this.faulty) this.world.checker.taskCompleted(held.job, held.index);
