--- a/src/test/sim/checker.ts
+++ b/src/test/sim/checker.ts
@@ -92,6 +92,15 @@
     this.report('forgotten', `${job}: ${how}`);
   }
 
+  /** A task waits for so long though a machine has room for it and its team is under its limit. */
+  leftWaiting(job: JobId, forMs: number): void {
+    this.report('left_waiting', `${job} for ${Math.round(forMs / 1000)} s`);
+  }
+
+  completedOf(job: JobId): number {
+    return this.completed.get(job)?.size ?? 0;
+  }
+
   /** Called cancelled, though its user never asked for it. */
   calledOffUnasked(job: JobId): void {
     this.report('went_back', `${job}: withdrawn unasked`);
--- a/src/test/sim/host.ts
+++ b/src/test/sim/host.ts
@@ -111,6 +111,7 @@
     });
     syncBuiltinESMExports();
     return () => {
+      this.als.disable();
       Object.assign(globalThis, { setTimeout, clearTimeout, setInterval, clearInterval });
       performance.now = perfNow;
       Date.now = dateNow;
--- a/src/test/sim/meeting.ts
+++ b/src/test/sim/meeting.ts
@@ -69,9 +69,11 @@
         .filter(([, u]) => u.accepted && u.spec.kind !== 'service')
         .filter(([, u]) => u.status !== 'done' && u.status !== 'withdrawn')
         .map(([id, u]) => `${id} ${u.status}`);
+      const broken = sim.checker.broken.slice(0, 5);
       assert.deepEqual(
-        { seed, broken: sim.checker.broken, unfinished },
+        { seed, broken, unfinished },
         { seed, broken: [], unfinished: [] },
+        sim.notes.join('; '),
       );
       assert.ok(sim.checker.starts > 0);
     } finally {
--- a/src/test/sim/service.ts
+++ b/src/test/sim/service.ts
@@ -21,6 +21,8 @@
 const CLOUD = '10.2.0.2';
 const CLOCK_ERROR_MS = 100;
 const FORGOTTEN_MS = 75_000;
+const LEFT_WAITING_MS = 90_000;
+const WAITING_LOOK_MS = 2000;
 
 export interface Setup {
   seed: number;
@@ -54,6 +56,7 @@
   readonly users = new Map<JobId, User>();
   readonly processes: Process[];
   readonly random: () => number;
+  readonly notes: string[] = [];
   private readonly specs = new Map<JobId, JobSpec>();
   private readonly restore: () => void;
   private readonly usersHost: Host;
@@ -133,6 +136,8 @@
   }
 
   private boot(p: Process): void {
+    // Ended twice before it was back: there is still one process.
+    p.host.kill();
     p.host = this.world.host(p.ip, (this.random() - 0.5) * 2 * CLOCK_ERROR_MS);
     p.host.run(() => new Controller(p.platform, checkOperator({})).start());
   }
@@ -160,6 +165,11 @@
     this.users.get(id)!.cancel();
   }
 
+  /** What happened, for the message of a test that fails. */
+  note(what: string): void {
+    this.notes.push(`${(this.now / 1000).toFixed(1)} ${what}`);
+  }
+
   /** Who the state service names as the leader. */
   get leader(): Process | null {
     const node = (this.state.items.get('l/leader')?.data as { node?: string } | undefined)?.node;
@@ -224,9 +234,42 @@
     await this.world.runUntil(untilMs);
   }
 
-  /** Troubles over: jobs of which no question is answered for 75 s are forgotten. */
+  /** Tasks that wait, though a machine has room for them and their team is under its limit. */
+  private waitsInVain({ spec }: User): boolean {
+    const workers = [...this.workers.values()].map((w) => w.worker);
+    const held = (id: JobId): number => workers.reduce((n, w) => n + w.holds(id), 0);
+    if (held(spec.id) + this.checker.completedOf(spec.id) >= spec.tasks) return false;
+    const tasks = spec.kind === 'array' ? 1 : spec.tasks;
+    const max = this.setup.teams.find((t) => t.name === spec.team)!.gpusMax;
+    const used = [...this.specs.values()]
+      .filter((s) => s.team === spec.team)
+      .reduce((n, s) => n + s.gpus * held(s.id), 0);
+    if (max > 0 && used + spec.gpus * tasks > max) return false;
+    const fitting = workers.filter(
+      (w) => (spec.zone === null || w.info.zone === spec.zone) && w.hasRoom(spec),
+    );
+    if (!spec.oneZone && !spec.spread) return fitting.length >= tasks;
+    return this.setup.zones.some((z) => fitting.filter((w) => w.info.zone === z).length >= tasks);
+  }
+
+  private watchWaiting(waitingSince: Map<JobId, number>): void {
+    for (const [id, user] of this.users) {
+      const over = user.status === 'done' || user.status === 'withdrawn' || user.calledOff;
+      if (!user.accepted || over || !this.waitsInVain(user)) {
+        waitingSince.delete(id);
+        continue;
+      }
+      const since = waitingSince.get(id) ?? this.now;
+      waitingSince.set(id, since);
+      if (this.now - since > LEFT_WAITING_MS) this.checker.leftWaiting(id, this.now - since);
+    }
+  }
+
+  /** Troubles over: jobs of which no question is answered for 75 s are forgotten, and none is left waiting. */
   async settle(untilMs: number): Promise<void> {
     const from = this.now;
+    const waitingSince = new Map<JobId, number>();
+    this.world.clock.every(WAITING_LOOK_MS, () => this.watchWaiting(waitingSince));
     await this.run(untilMs);
     for (const [id, u] of this.users) {
       if (!u.accepted || u.status === 'done' || u.status === 'withdrawn') continue;
--- a/src/test/sim/user.ts
+++ b/src/test/sim/user.ts
@@ -32,13 +32,21 @@
   dueS: s.deadlineS,
 });
 
+export interface UserAnswer {
+  status: number;
+  body: unknown;
+  askedAt: number;
+}
+
 export class User {
   status = 'not submitted';
   accepted = false;
   /** When a question about the job was last answered. */
   answeredAt = -Infinity;
   private readonly clients: HttpClient[];
-  private aborting = false;
+  /** Its user has asked to cancel it. */
+  calledOff = false;
+  private finalAt: number | null = null;
 
   constructor(
     private readonly host: Host,
@@ -68,7 +76,7 @@
     }
   }
 
-  private check(r: { status: number; body: unknown } | null): void {
+  private check(r: UserAnswer | null): void {
     if (!r || !this.accepted) return;
     if (r.status === 404 || r.status === 400 || r.status === 422)
       this.checker.forgotten(this.spec.id, String(r.status));
@@ -82,10 +90,11 @@
     body: unknown,
     timeoutMs: number,
     at?: number,
-  ): Promise<{ status: number; body: unknown } | null> {
+  ): Promise<UserAnswer | null> {
     const client = this.clients[at ?? Math.floor(this.random() * this.clients.length)]!;
+    const askedAt = this.host.world.clock.now;
     const r = await client.request(method, path, body === null ? null : encode(body), timeoutMs);
-    return r.ok ? { status: r.status, body: r.body.length > 0 ? tryDecode(r.body) : {} } : null;
+    return r.ok ? { status: r.status, body: r.body.length > 0 ? tryDecode(r.body) : {}, askedAt } : null;
   }
 
   private async submit(): Promise<void> {
@@ -113,8 +122,8 @@
   }
 
   private async abort(): Promise<void> {
-    if (this.aborting) return;
-    this.aborting = true;
+    if (this.calledOff) return;
+    this.calledOff = true;
     for (let tries = 0; tries < 90; tries++) {
       const r = await this.ask('POST', `/v1/jobs/${this.spec.id}/abort`, {}, 5000);
       if (r?.status === 200) return this.take(r);
@@ -123,11 +132,15 @@
     }
   }
 
-  private take(r: { body: unknown }): void {
-    this.answeredAt = this.host.world.clock.now;
+  private take(r: UserAnswer): void {
+    const { now } = this.host.world.clock;
+    this.answeredAt = now;
+    // Asked before a final answer came, and overtaken by it: older by right.
+    if (this.finalAt !== null && r.askedAt <= this.finalAt) return;
     this.status = (r.body as { status: string }).status;
-    if (this.status === 'withdrawn' && this.aborting) this.checker.toldCancelled(this.spec.id);
+    if (this.status === 'withdrawn' && this.calledOff) this.checker.toldCancelled(this.spec.id);
     else if (this.status === 'withdrawn') this.checker.calledOffUnasked(this.spec.id);
     else this.checker.told(this.spec.id, this.status);
+    if (this.status === 'done' || this.status === 'withdrawn') this.finalAt ??= now;
   }
 }
--- a/src/test/sim/worker.ts
+++ b/src/test/sim/worker.ts
@@ -244,7 +244,12 @@
     held.place = null;
   }
 
-  private hasRoom(spec: JobSpec, self: Held): boolean {
+  /** How many tasks of the job it holds, in whatever state but exited. */
+  holds(job: JobId): number {
+    return [...this.tasks.values()].filter((t) => t.job === job && t.state !== 'exited').length;
+  }
+
+  hasRoom(spec: JobSpec, self: Held | null = null): boolean {
     const free = { ...this.world.capacity(this.info.type) };
     for (const t of this.tasks.values()) {
       if (t === self || t.state === 'exited') continue;
