A first leader uses machines that are up: nothing is rented beside them before they are listed or settled

Cause (test of four zones, three controllers, 16 machines up): a leader rented for the first jobs before the cloud's list had come, and beside machines whose first report did not carry its token yet; the kept traces show the same second rental beside every machine that had just booted.

--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -46,6 +46,7 @@
   }
 
   onList(listed: ListedMachine[], now: Steady): void {
+    this.state.listed = true;
     const names = new Set(listed.map((l) => l.id));
     for (const m of this.state.machines.values()) {
       // Once listed, a machine stays listed until it is gone; a list may be older than the one before it.
--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -11,6 +11,8 @@
 const MAX_NEW_MACHINES = 60;
 /** Like the scheduler: so many reports missed, and nothing new goes to a machine. */
 const SILENT_REPORTS = 2.5;
+/** For so long a leader that got no list rents nothing. */
+const UNLISTED_MS = 10_000;
 
 export class Renting {
   private readonly refusedUntil = new Map<string, Steady>();
@@ -105,7 +107,9 @@
     const silentMs = this.state.settings.workers.reportS * SILENT_REPORTS * 1000;
     for (const m of this.state.machines.values()) {
       if (!m.type || m.leaving || m.sick || m.noticeAt !== null) continue;
-      if (m.up && !m.settled) continue;
+      // What an earlier leader started there is not known yet. A machine on no roster holds nothing, and its next
+      // report makes it usable: renting beside it would be for nothing.
+      if (m.up && !m.settled && this.state.blockers.has(m.id)) continue;
       if (m.up && m.lastReportAt !== null && now - m.lastReportAt > silentMs) {
         silent.push(m); // nothing is placed there
         continue;
@@ -134,7 +138,9 @@
       maxNew: MAX_NEW_MACHINES,
     });
     const pending = this.rents.size > 0;
-    if (!pending) {
+    // Machines that no roster names may be up, as at a first leader's start: none is rented beside them unseen.
+    const blind = !this.state.listed && now - this.state.startedAt < UNLISTED_MS;
+    if (!pending && !blind) {
       for (const order of plan.orders) {
         const request = `t${this.state.leadership.term}-${++this.requests}`;
         const capped = { ...order, count: Math.min(order.count, 50) };
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -18,6 +18,8 @@
   readonly pokes = new Set<Machine>();
   /** Zones of which half or more was silent a moment ago, and when. */
   readonly cutZones = new Map<Zone, Steady>();
+  /** The cloud has listed its machines to this leader. */
+  listed = false;
   effects: Effect[] = [];
   dirty = true;
   news = true;
--- a/src/test/sim/cloud-service.ts
+++ b/src/test/sim/cloud-service.ts
@@ -14,6 +14,8 @@
 
 export class CloudService {
   readonly machines = new Map<MachineId, Rented>();
+  /** Machines rented through requests. */
+  rented = 0;
   private readonly hires = new Map<string, MachineId[]>();
   private count = 0;
   down = false;
@@ -31,12 +33,11 @@
     serve(host, address, async (q, body) => (this.down ? trouble : this.answer(q.target, body)));
   }
 
-  /** A machine that is up already, as before a first leader's start. */
-  add(type: TypeName, zone: Zone, spot: boolean, bootMs: number): MachineId {
+  add(type: TypeName, zone: Zone, spot: boolean, bootMs: number, rentedAt = this.now): MachineId {
     const n = ++this.count;
     const id = `host-${String(n).padStart(6, '0')}` as MachineId;
     const endpoint = `10.1.${n >> 8}.${n & 255}:9000` as Endpoint;
-    const rented = { info: { id, endpoint, type, zone, spot }, rentedAt: this.now, up: false };
+    const rented = { info: { id, endpoint, type, zone, spot }, rentedAt, up: false };
     this.machines.set(id, rented);
     this.host.world.clock.after(bootMs, () => {
       if (!this.machines.has(id)) return;
@@ -99,6 +100,7 @@
     const room = Math.min(q.number, this.capacity - this.machines.size);
     if (room <= 0) return { status: 503, body: { error: 'no capacity' } };
     const stalls = Array.from({ length: room }, () => this.add(q.breed, q.pasture, q.loaners, bootMs));
+    this.rented += room;
     this.hires.set(q.hire, stalls);
     return { status: 200, body: { stalls } };
   }
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -140,6 +140,7 @@
     this.clock.every(1000, () => this.checker.sweep());
     this.elect();
     this.clock.every(200, () => this.tick());
+    this.clock.after(100, () => this.list());
     this.clock.every(4000, () => this.list());
   }
 
--- a/src/test/sim/meeting.ts
+++ b/src/test/sim/meeting.ts
@@ -65,6 +65,7 @@
     script({ sim, submit, random: sim.random });
     await sim.run(quietMs);
     await sim.settle(endMs);
+    sim.checker.sumUp();
     const unfinished = [...sim.users]
       .filter(([, u]) => u.accepted && u.spec.kind !== 'service')
       .filter(([, u]) => u.status !== 'done' && u.status !== 'withdrawn')
--- a/src/test/sim/service.ts
+++ b/src/test/sim/service.ts
@@ -21,6 +21,8 @@
 const CLOUD = '10.2.0.2';
 const CLOCK_ERROR_MS = 100;
 const FORGOTTEN_MS = 75_000;
+/** Machines that are up at the start were rented so long before. */
+const UP_SINCE_MS = 600_000;
 const LEFT_WAITING_MS = 90_000;
 const WAITING_LOOK_MS = 2000;
 
@@ -37,6 +39,8 @@
   up?: { type: string; perZone: number };
   runMs: (job: JobId) => number;
   workers?: Partial<Platform['workers']>;
+  /** Operators' settings, as the build step writes them. */
+  operator?: unknown;
 }
 
 interface Process {
@@ -102,7 +106,7 @@
     const first = setup.types.find((t) => t.name === setup.up?.type);
     for (const zone of first?.zones ?? [])
       for (let i = 0; i < (setup.up?.perZone ?? 0); i++)
-        this.cloud.add(first!.name as TypeName, zone, false, 0);
+        this.cloud.add(first!.name as TypeName, zone, false, 0, -UP_SINCE_MS);
     for (const p of this.processes) this.boot(p);
   }
 
@@ -139,7 +143,7 @@
     // Ended twice before it was back: there is still one process.
     p.host.kill();
     p.host = this.world.host(p.ip, (this.random() - 0.5) * 2 * CLOCK_ERROR_MS);
-    p.host.run(() => new Controller(p.platform, checkOperator({})).start());
+    p.host.run(() => new Controller(p.platform, checkOperator(this.setup.operator ?? {})).start());
   }
 
   // ---- what happens ----------------------------------------------------------------------------------------
@@ -165,6 +169,15 @@
     this.users.get(id)!.cancel();
   }
 
+  /** Connections between machines and controllers of two zones. */
+  partZones(one: string, other: string, trouble: Trouble, forMs: number): void {
+    const inside = (zone: string): string[] => [
+      ...[...this.workers.values()].filter((w) => w.info.zone === zone).map((w) => w.host.ip),
+      ...this.processes.filter((p) => p.platform.zone === zone).map((p) => p.ip),
+    ];
+    this.network.cut(inside(one), inside(other), trouble, forMs);
+  }
+
   /** What happened, for the message of a test that fails. */
   note(what: string): void {
     this.notes.push(`${(this.now / 1000).toFixed(1)} ${what}`);
