--- a/src/core/scaling.ts
+++ b/src/core/scaling.ts
@@ -60,6 +60,15 @@
 export const fitsSomeType = (spec: JobSpec, types: MachineType[]): boolean =>
   types.some((t) => t.zones.some((z) => mayRunOn(spec, t.name, z, false)) && fits(spec, t));
 
+/** Groups whose tasks run at the same time, spread over zones, need more than one zone as soon as they are two. */
+export const canBeSpread = (spec: JobSpec, types: MachineType[]): boolean => {
+  if (!spec.spread || spec.kind === 'array' || spec.tasks < 2) return true;
+  if (spec.oneZone) return false;
+  const fitting = types.filter((t) => fits(spec, t));
+  const zones = fitting.flatMap((t) => t.zones.filter((z) => mayRunOn(spec, t.name, z, false)));
+  return new Set(zones).size > 1;
+};
+
 const unitPrice = (t: MachineType, spot: boolean): number =>
   (spot ? t.spotPrice : t.price) / (t.gpus > 0 ? t.gpus : t.cpus);
 
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -5,7 +5,7 @@
 import { reserves, type StateClient } from './state-client.js';
 import type { Platform } from '../config/platform.js';
 import { withinLimit } from '../core/scheduler/rules.js';
-import { fitsSomeType } from '../core/scaling.js';
+import { canBeSpread, fitsSomeType } from '../core/scaling.js';
 import type { FinalRecord, JobRecord, JobSpec, MachineType, TeamLimits } from '../core/types.js';
 import type { JobId, Stamp, Team, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
@@ -109,7 +109,8 @@
     if (!withinLimit(need, undefined, team)) return "more than the team's limit";
     const types = this.types();
     if (types.length === 0) return 'undecided';
-    return fitsSomeType(spec, types) ? null : 'a task fits no allowed machine type';
+    if (!fitsSomeType(spec, types)) return 'a task fits no allowed machine type';
+    return canBeSpread(spec, types) ? null : 'its tasks can not be spread over the allowed zones';
   }
 
   private async status(id: JobId): Promise<HttpReply> {
--- a/src/test/user-api.test.ts
+++ b/src/test/user-api.test.ts
@@ -139,6 +139,10 @@
   assert.equal(await submit({ vcpus: 1000 }), '422');
   assert.equal(await submit({ accelerators: 21 }), '422', "over the team's limit");
   assert.equal(await submit({ gait: 'group', hands: 21 }), '422', 'all tasks of a gang count');
+  assert.equal(await submit({ pasture: 'nowhere' }), '422');
+  const spread = { gait: 'service', spread: true, hands: 2 };
+  assert.equal(await submit({ ...spread, pasture: 'east' }), '422', 'both would be in one zone');
+  assert.equal(await submit({ ...spread, oneZone: true }), '422');
   assert.equal(await call(api, 'GET', '/v1/jobs'), '405');
   assert.equal(await call(api, 'GET', '/v2'), '404');
   assert.equal(await submit({}), '201 pending');
--- a/src/test/wire.test.ts
+++ b/src/test/wire.test.ts
@@ -137,6 +137,22 @@
   });
 });
 
+test('settings: a zone without a controller, a team without guarantee or limit, a guarantee above the limit', () => {
+  const source = `${platform}\n[[settings.teams]]\nname = "red"\ngpus = 9.0\ngpus_max = 4.0\nweight = 2\n`;
+  const p = parsePlatform(source.replace(/zones = \[[^\]]*\]/, 'zones = ["east", "west", "south"]'));
+  assert.equal(p.zones.length, 3);
+  const red = p.teams.find((t) => (t.name as string) === 'red')!;
+  assert.deepEqual(
+    [red.cpus, red.cpusMax, red.gpus, red.gpusMax],
+    [0, 0, 9, 4],
+    'the limit holds, whatever is guaranteed',
+  );
+  assert.throws(
+    () => parsePlatform(source.replace('gpus = 9.0', 'gpus = -1')),
+    /settings\.teams.*gpus: -1 .*>=0/,
+  );
+});
+
 test('operator settings: defaults, bounds, and unknown names refused', () => {
   assert.equal(checkOperator({}).leaseMs, 3000);
   assert.equal(checkOperator({ leadership: [{ lease_ms: 5000 }] }).leaseMs, 5000);
