--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -1,5 +1,6 @@
 // Machines from the roster, the list and the cloud: enrolled, watched, fenced and given back.
 import { Machine } from '../cluster.js';
+import type { Job } from '../job.js';
 import { Roster } from '../roster.js';
 import type { ListedMachine, MachineInfo } from '../types.js';
 import type { MachineId, Steady, WallTime, Zone } from '../units.js';
@@ -136,10 +137,11 @@
    * neither a stop nor the end of its lease ends the task. Whoever leads next finds it gone, or fences it once more.
    */
   fenceOverdue(now: Steady, wall: WallTime): void {
+    const overdueJobs = this.overdueJobs(now, wall);
     for (const m of this.state.machines.values()) {
       const since = this.silentSince(m);
       if (!m.up || now - since < this.patienceMs) continue;
-      if (this.holdsOverdueCancel(m, now, wall) || this.mayHoldOverdueCancel(m, now, wall))
+      if (this.holdsOverdueCancel(m, now, wall) || this.mayHoldAnyOf(overdueJobs, m))
         this.fence(m, 'silent with a cancelled task', now, true);
     }
   }
@@ -178,13 +180,13 @@
     for (const n of quiet.values()) missing += n;
     if (missing > Math.max(3, up * SILENT_SHARE)) this.manyAt = now;
     const many = now - this.manyAt <= backMs;
+    const overdueJobs = silent.length > 0 ? this.overdueJobs(now, wall) : [];
     for (const m of silent) {
       if (m.leaving?.overdue) continue;
       // Half a zone falls silent at once only when it is cut off; its workers may be kept alive over there.
       const cut = this.state.cutZones.has(m.info.zone);
       const since = this.silentSince(m);
-      const overdue =
-        this.holdsOverdueCancel(m, now, wall) || (!cut && this.mayHoldOverdueCancel(m, now, wall));
+      const overdue = this.holdsOverdueCancel(m, now, wall) || (!cut && this.mayHoldAnyOf(overdueJobs, m));
       if ((!cut && !many) || overdue || now - since >= (cut ? cutPatience : longPatience) || m.unlisted)
         this.fence(m, cut ? 'zone silent' : 'silent', now, overdue);
     }
@@ -198,17 +200,18 @@
   }
 
   /**
-   * Not heard since this leadership began, so a cancelled task may hang there that no report has told of. It is
-   * waited for longer: of many such machines most are whole, and end the task or lose their lease by themselves.
+   * Their tasks may hang on machines not heard since this leadership began, where no report has told of them. They are
+   * waited for longer: of many such machines most are whole, and end the tasks or lose their lease by themselves.
    */
-  private mayHoldOverdueCancel(m: Machine, now: Steady, wall: WallTime): boolean {
-    if (!this.state.blockers.has(m.id)) return false;
+  private overdueJobs(now: Steady, wall: WallTime): Job[] {
+    if (this.state.blockers.size === 0) return [];
     const limitMs = this.state.settings.workers.cancelS * 1000 * MAYBE_OVERDUE_CANCELS;
-    for (const job of this.state.jobs.values()) {
-      if (!job.cancelled || job.cancelledForMs(now, wall) <= limitMs) continue;
-      if (this.state.mayBeOn(job, m)) return true;
-    }
-    return false;
+    const overdue = (job: Job): boolean => job.cancelled && job.cancelledForMs(now, wall) > limitMs;
+    return [...this.state.jobs.values()].filter(overdue);
+  }
+
+  private mayHoldAnyOf(jobs: Job[], m: Machine): boolean {
+    return this.state.blockers.has(m.id) && jobs.some((job) => this.state.mayBeOn(job, m));
   }
 
   /** Within this time a worker that is up has reported to a new leader, whichever controllers it tries before. */
--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -99,6 +99,14 @@
     return wants.sort((a, b) => priorityRank[b.spec.priority] - priorityRank[a.spec.priority]);
   }
 
+  /**
+   * Up before this leader and on no roster, so nothing is on it: its next report makes it usable, and renting beside a
+   * whole fleet of such machines would be for nothing.
+   */
+  private wasUpBefore(m: Machine): boolean {
+    return !this.state.blockers.has(m.id) && m.rentedAt < this.state.startedAt;
+  }
+
   scale(waiting: Job[], now: Steady): void {
     if (now - this.lastScale < 500 || this.state.types.length === 0) return;
     this.lastScale = now;
@@ -107,9 +115,7 @@
     const silentMs = this.state.settings.workers.reportS * SILENT_REPORTS * 1000;
     for (const m of this.state.machines.values()) {
       if (!m.type || m.leaving || m.sick || m.noticeAt !== null) continue;
-      // What an earlier leader started there is not known yet. A machine on no roster holds nothing, and its next
-      // report makes it usable: renting beside it would be for nothing.
-      if (m.up && !m.settled && this.state.blockers.has(m.id)) continue;
+      if (m.up && !m.settled && !this.wasUpBefore(m)) continue;
       if (m.up && m.lastReportAt !== null && now - m.lastReportAt > silentMs) {
         silent.push(m); // nothing is placed there
         continue;
