--- a/src/test/broken-variants.test.ts
+++ b/src/test/broken-variants.test.ts
@@ -1,40 +1,24 @@
 // What the meetings' tests would see: each safeguard is taken out once, and the day that needs it must break its rule.
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
-import { mixedWork, playDay, type Meeting } from './sim/meeting.js';
+import {
+  MEETING,
+  begin,
+  cancelledAsMachinesHang,
+  cancelledAtTheLimit,
+  playDay,
+  type Meeting,
+} from './sim/meeting.js';
 import type { Job } from '../core/job.js';
 import { Leader } from '../core/leader.js';
 import { Queue } from '../core/leader/queue.js';
 import { LeaderState } from '../core/leader/state.js';
-import type { JobId, Team } from '../core/units.js';
 import { CancellationFeed } from '../runtime/cancellation-feed.js';
 import { OverdueFences } from '../runtime/overdue-fences.js';
 import { UserApi } from '../runtime/user-api.js';
 
-const MEETING = 60_000;
 const times = { quietMs: 140_000, endMs: 260_000 };
 
-const begin = (m: Meeting): JobId[] => {
-  const jobs: JobId[] = [];
-  m.sim.at(10_000, () => jobs.push(...mixedWork(m)));
-  return jobs;
-};
-
-const cancelledAsMachinesHang =
-  (then: (m: Meeting) => void) =>
-  (m: Meeting): void => {
-    const jobs = begin(m);
-    m.sim.at(MEETING, () => {
-      m.sim.refuseLeader(14_000);
-      for (const id of jobs.slice(0, 3)) {
-        for (const w of m.sim.machinesOf(id)) w.hang(60_000);
-        m.sim.cancel(id);
-      }
-    });
-    m.sim.at(MEETING + 1000, () => m.sim.state.outage(57_000));
-    then(m);
-  };
-
 const breaks = async (rule: string, script: (m: Meeting) => void, seed = 1): Promise<void> => {
   const { broken } = await playDay(seed, times, script);
   assert.ok(
@@ -45,10 +29,7 @@
 
 test('without the fence that needs no authority', async (t: TestContext) => {
   t.mock.method(Leader.prototype, 'tickWithoutAuthority', () => undefined);
-  await breaks(
-    'ran_cancelled',
-    cancelledAsMachinesHang(() => undefined),
-  );
+  await breaks('ran_cancelled', cancelledAsMachinesHang());
 });
 
 test('without the fence when nobody leads', async (t: TestContext) => {
@@ -89,21 +70,7 @@
   t.mock.method(LeaderState.prototype, 'mayBeOnSilent', function (this: LeaderState, job: Job) {
     return !job.cancelled && mayBe.call(this, job);
   });
-  await breaks('quota', (m) => {
-    const jobs: JobId[] = [];
-    const blue = { team: 'blue' as Team };
-    m.sim.at(10_000, () => {
-      for (let i = 0; i < 2; i++) jobs.push(m.submit({ ...blue, tasks: 4 }, 90_000));
-    });
-    m.sim.at(MEETING, () => {
-      // With so many silent at once the leader waits before it fences them.
-      for (const w of m.sim.machinesOf(jobs[0]!)) w.hang(25_000);
-      for (const w of [...m.sim.workers.values()].slice(0, 4)) w.hang(25_000);
-      m.sim.restart(m.sim.leader!, 5000);
-      m.sim.cancel(jobs[0]!);
-    });
-    m.sim.at(MEETING + 5000, () => m.submit({ ...blue, tasks: 6 }, 30_000));
-  });
+  await breaks('quota', cancelledAtTheLimit);
 });
 
 test('with controllers that know no finished job', async (t: TestContext) => {
--- a/src/test/meetings.test.ts
+++ b/src/test/meetings.test.ts
@@ -1,17 +1,11 @@
 // Meetings of two troubles, named as the operators name them. Whole controllers on virtual time.
 import { test } from 'node:test';
-import { mixedWork, playMeeting, type Meeting } from './sim/meeting.js';
+import { begin, playMeeting, type Meeting } from './sim/meeting.js';
 import type { WorkerHost } from './sim/worker-host.js';
-import type { JobId, Team, Zone } from '../core/units.js';
 
 const START = 10_000;
 const MEETING = 50_000;
 
-const begin = (m: Meeting): JobId[] => {
-  const jobs: JobId[] = [];
-  m.sim.at(START, () => jobs.push(...mixedWork(m)));
-  return jobs;
-};
 const workers = (m: Meeting): WorkerHost[] => [...m.sim.workers.values()];
 
 test('a command or its answer is held up for seconds, and the machine then goes on', () =>
@@ -92,93 +86,3 @@
       m.sim.restart(m.sim.leader!, 500);
     });
   }));
-
-test('jobs bound to one zone, arrays too, lose machines', () =>
-  playMeeting({ quietMs: 120_000, endMs: 500_000 }, (m) => {
-    m.sim.at(START, () => {
-      for (const tasks of [2, 3, 5]) m.submit({ tasks, oneZone: true });
-      for (const tasks of [2, 3]) m.submit({ kind: 'gang', tasks, oneZone: true });
-      m.submit({ tasks: 4, zone: 'west' as Zone });
-      m.submit({ tasks: 4, spread: true });
-    });
-    for (let i = 0; i < 4; i++)
-      m.sim.at(MEETING + i * 9000, () => {
-        for (const w of workers(m)) {
-          const dice = m.random();
-          if (dice < 0.15) w.hang(4000 + m.random() * 12_000);
-          else if (dice < 0.3) w.end();
-        }
-      });
-    m.sim.at(MEETING + 12_000, () => m.sim.restart(m.sim.leader!, 5000));
-  }));
-
-test('jobs of two or three tasks end far apart across a change of leader', () =>
-  playMeeting({ quietMs: 120_000, endMs: 330_000 }, (m) => {
-    m.sim.at(START, () => {
-      for (let i = 0; i < 8; i++) {
-        m.submit({ tasks: 2 + (i % 2) }, 30_000 + 2000 * i);
-        m.submit({ kind: 'gang', tasks: 2 + (i % 2) }, 30_000 + 2000 * i);
-      }
-    });
-    // Some tasks end just then, others later: their machines are not heard for a while.
-    for (const atMs of [44_000, 52_000]) {
-      m.sim.at(atMs - 1000, () => {
-        for (const w of workers(m)) if (m.random() < 0.4) w.hang(6000);
-      });
-      m.sim.at(atMs, () => m.sim.restart(m.sim.leader!, 3000));
-    }
-  }));
-
-test('a transaction without an answer is carried out late, after newer ones of the same controller', () =>
-  playMeeting({ quietMs: 130_000, endMs: 330_000 }, (m) => {
-    m.sim.at(START - 5000, () => m.sim.state.lateWrites(0.3, 100_000));
-    for (let i = 0; i < 25; i++) {
-      m.sim.at(START + i * 3000, () => {
-        const id = m.submit({ tasks: 1 + (i % 4) }, 10_000 + 1000 * (i % 7));
-        if (i % 5 === 0) m.sim.at(m.sim.now + 9000, () => m.sim.cancel(id));
-      });
-    }
-    m.sim.at(MEETING, () => m.sim.restart(m.sim.leader!, 3000));
-    m.sim.at(MEETING + 20_000, () => m.sim.restart(m.sim.leader!, 500));
-  }));
-
-for (const outageMs of [0, 40_000]) {
-  test(`leaders change ten times in two minutes${outageMs > 0 ? ', also inside an outage' : ''}`, () =>
-    playMeeting({ quietMs: 180_000, endMs: 480_000 }, (m) => {
-      const jobs = begin(m);
-      for (let i = 0; i < 10; i++)
-        m.sim.at(MEETING + i * 11_000, () => {
-          if (m.sim.leader) m.sim.restart(m.sim.leader, 200 + m.random() * 4000);
-        });
-      if (outageMs > 0) m.sim.at(MEETING + 40_000, () => m.sim.state.outage(outageMs));
-      m.sim.at(MEETING + 39_000, () => m.sim.cancel(jobs[2]!));
-    }));
-}
-
-test('the state service refuses the leader alone while a team is at its limit and work waits', () =>
-  playMeeting({ quietMs: 120_000, endMs: 500_000 }, (m) => {
-    m.sim.at(START, () => {
-      for (let i = 0; i < 8; i++) m.submit({ tasks: 3, team: 'blue' as Team }, 30_000);
-    });
-    for (const atMs of [40_000, 70_000]) m.sim.at(atMs, () => m.sim.refuseLeader(12_000));
-  }));
-
-test('a controller loses state service and peers, not its workers', () =>
-  playMeeting({ quietMs: 130_000, endMs: 400_000 }, (m) => {
-    const jobs = begin(m);
-    m.sim.at(MEETING, () => {
-      const p = m.sim.processes.find((q) => q !== m.sim.leader)!;
-      m.sim.cutState(p, 60_000);
-      m.sim.cutPeers(p, 'hold', 60_000);
-    });
-    m.sim.at(MEETING + 5000, () => m.sim.cancel(jobs[3]!));
-    m.sim.at(MEETING + 20_000, () => m.sim.restart(m.sim.leader!, 300));
-  }));
-
-test('a controller stands still for seconds while its clocks run on', () =>
-  playMeeting({ quietMs: 120_000, endMs: 330_000 }, (m) => {
-    const jobs = begin(m);
-    m.sim.at(MEETING, () => m.sim.leader!.host.freeze(12_000));
-    m.sim.at(MEETING + 4500, () => m.sim.cancel(jobs[1]!));
-    m.sim.at(MEETING + 30_000, () => m.sim.processes[1]!.host.freeze(20_000));
-  }));
--- a/src/test/sim/meeting.ts
+++ b/src/test/sim/meeting.ts
@@ -85,3 +85,48 @@
     assert.ok(sim.checker.starts > 0);
   }
 };
+
+const START = 10_000;
+/** When the meetings below happen. */
+export const MEETING = 60_000;
+/** Longer than cancel_s of the stand-ins, which is 40 s. */
+export const LONG_OUTAGE = 57_000;
+
+export const begin = (m: Meeting): JobId[] => {
+  const jobs: JobId[] = [];
+  m.sim.at(START, () => jobs.push(...mixedWork(m)));
+  return jobs;
+};
+
+/** Jobs are cancelled as the leader alone is refused, their machines hang, and a second later the service is out. */
+export const cancelledAsMachinesHang =
+  (then: (m: Meeting) => void = () => undefined) =>
+  (m: Meeting): void => {
+    const jobs = begin(m);
+    m.sim.at(MEETING, () => {
+      m.sim.refuseLeader(14_000);
+      for (const id of jobs.slice(0, 3)) {
+        for (const w of m.sim.machinesOf(id)) w.hang(60_000);
+        m.sim.cancel(id);
+      }
+    });
+    m.sim.at(MEETING + 1000, () => m.sim.state.outage(LONG_OUTAGE));
+    then(m);
+  };
+
+/** A team at its limit, a change of leader, machines that can't be asked, a cancellation. */
+export const cancelledAtTheLimit = (m: Meeting): void => {
+  const jobs: JobId[] = [];
+  const blue = { team: 'blue' as Team };
+  m.sim.at(START, () => {
+    for (let i = 0; i < 2; i++) jobs.push(m.submit({ ...blue, tasks: 4 }, 90_000));
+  });
+  m.sim.at(MEETING, () => {
+    // With so many silent at once the leader waits before it fences them.
+    for (const w of m.sim.machinesOf(jobs[0]!)) w.hang(25_000);
+    for (const w of [...m.sim.workers.values()].slice(0, 4)) w.hang(25_000);
+    m.sim.restart(m.sim.leader!, 5000);
+    m.sim.cancel(jobs[0]!);
+  });
+  m.sim.at(MEETING + 5000, () => m.submit({ ...blue, tasks: 6 }, 30_000));
+};
