--- a/src/test/broken-variants.test.ts
+++ b/src/test/broken-variants.test.ts
@@ -11,11 +11,14 @@
 } from './sim/meeting.js';
 import type { Job } from '../core/job.js';
 import { Leader } from '../core/leader.js';
+import { Fleet } from '../core/leader/fleet.js';
 import { Queue } from '../core/leader/queue.js';
 import { LeaderState } from '../core/leader/state.js';
 import { CancellationFeed } from '../runtime/cancellation-feed.js';
 import { OverdueFences } from '../runtime/overdue-fences.js';
+import { StateClient } from '../runtime/state-client.js';
 import { UserApi } from '../runtime/user-api.js';
+import type { Transaction } from '../wire/state.js';
 
 const times = { quietMs: 140_000, endMs: 260_000 };
 
@@ -88,3 +91,40 @@
   });
   await breaks('left_waiting', begin);
 });
+
+test('with machines given up before the cloud has answered that they are gone', async (t: TestContext) => {
+  const fence = Reflect.get(Fleet.prototype, 'fence') as Fleet['fence'];
+  t.mock.method(Fleet.prototype, 'fence', function (this: Fleet, ...a: Parameters<Fleet['fence']>) {
+    const [machine, , now] = a;
+    fence.apply(this, a);
+    this.onReturned([machine.id], true, now);
+  });
+  await breaks('ran_twice', (m) => {
+    const jobs = begin(m);
+    // Healthy, but not heard: their tasks go on.
+    m.sim.at(MEETING, () => m.sim.machinesOf(jobs[2]!).forEach((w) => w.hang(9500)));
+  });
+});
+
+test('with writes that overwrite whatever has come in between', async (t: TestContext) => {
+  const transact = Reflect.get(StateClient.prototype, 'transact') as StateClient['transact'];
+  t.mock.method(
+    StateClient.prototype,
+    'transact',
+    function (this: StateClient, w: Transaction, reserve?: number) {
+      const own = w.if.filter((c) => c.key.startsWith('l/'));
+      return transact.call(this, { ...w, if: own }, reserve);
+    },
+  );
+  await breaks('went_back', (m) => {
+    m.sim.at(8000, () => m.sim.state.lateWrites(0.3, 100_000));
+    m.sim.checker.onCompleted = (id) => {
+      for (const ms of [5000, 9000, 13_000]) m.sim.at(m.sim.now + ms, () => m.sim.users.get(id)!.repeat());
+    };
+    for (let i = 0; i < 25; i++)
+      m.sim.at(10_000 + i * 2500, () => {
+        const id = m.submit({ tasks: 1 + (i % 2) }, 6000 + 300 * i);
+        m.sim.at(m.sim.now + 12_000 + 300 * i, () => m.sim.cancel(id));
+      });
+  });
+});
