--- a/src/test/meetings.test.ts
+++ b/src/test/meetings.test.ts
@@ -74,7 +74,10 @@
 test('a report is held back until a new leader has acted, and old ones arrive after newer ones', () =>
   playMeeting({ quietMs: 130_000, endMs: 330_000 }, (m) => {
     const jobs = begin(m);
-    m.sim.at(MEETING - 20_000, () => m.sim.lateReports(0.5, 90_000));
+    // Work comes and goes, so that an old report says something else than the newest.
+    for (let i = 0; i < 40; i++)
+      m.sim.at(START + i * 2000, () => m.submit({ tasks: 1 + (i % 2), checkpointS: 0 }, 9000 + 200 * i));
+    m.sim.at(START + 5000, () => m.sim.lateReports(0.5, 105_000));
     m.sim.at(MEETING, () => {
       const ips = m.sim.machinesOf(jobs[3]!).map((w) => w.host.ip);
       const controllers = m.sim.processes.map((p) => p.ip);
