Machine types that arrive while a leader loads are no longer missed

The types came from the cloud between the leader's start and the end of its loading and were handed to a leader that did not exist yet; it got them at the next refresh, 30 s later. Ruled out: the roster (written within a second), the first round of reports (254 ms), back-off.

--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -90,11 +90,13 @@
       },
       startedAt,
     );
-    leader.setTypes(this.types());
     const roster = await this.load(wire.keys.rosterPrefix);
     const jobs = await this.load(wire.keys.activePrefix);
     const progress = await this.load(wire.keys.progressPrefix);
     if (!roster || !jobs || !progress || this.ended) return;
+    // Read only now: types that arrive while the state service is being read would otherwise be missed, and nothing
+    // could be placed before the next refresh.
+    leader.setTypes(this.types());
     for (const item of roster.items) {
       const page = item.key.slice(wire.keys.rosterPrefix.length);
       const machines = wire.parseRosterPage(item.data);
--- a/src/test/sim/cloud-service.ts
+++ b/src/test/sim/cloud-service.ts
@@ -10,6 +10,7 @@
   up: boolean;
 }
 
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 const trouble: Answer = { status: 503, body: { error: 'trouble' } };
 
 export class CloudService {
@@ -19,6 +20,8 @@
   private readonly hires = new Map<string, MachineId[]>();
   private count = 0;
   down = false;
+  /** Every answer takes this much longer. */
+  answerDelayMs = 0;
   /** Who was given back, and when. */
   readonly returned = new Map<MachineId, number>();
 
@@ -30,7 +33,10 @@
     private readonly lagMs: number,
     private readonly events: { up: (m: MachineInfo) => void; gone: (id: MachineId) => void },
   ) {
-    serve(host, address, async (q, body) => (this.down ? trouble : this.answer(q.target, body)));
+    serve(host, address, async (q, body) => {
+      if (this.answerDelayMs > 0) await sleep(this.answerDelayMs);
+      return this.down ? trouble : this.answer(q.target, body);
+    });
   }
 
   add(type: TypeName, zone: Zone, spot: boolean, bootMs: number, rentedAt = this.now): MachineId {
--- a/src/test/sim/state-service.ts
+++ b/src/test/sim/state-service.ts
@@ -18,6 +18,7 @@
 }
 
 const SWEEP_MS = 50;
+const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 const trouble: Answer = { status: 503, body: { error: 'trouble' } };
 
 export class StateService {
@@ -31,6 +32,8 @@
   private down = false;
   private readonly refused = new Set<string>();
   private lateShare = 0;
+  /** Every answer takes this much longer. */
+  answerDelayMs = 0;
   private watchers: (() => void)[] = [];
   /** Transactions without an answer that were carried out late. */
   late = 0;
@@ -42,6 +45,7 @@
   ) {
     serve(host, address, async (q, body, from) => {
       const out = (): boolean => this.down || this.refused.has(from);
+      if (this.answerDelayMs > 0) await sleep(this.answerDelayMs);
       if (out()) return trouble;
       return this.answer(q.method, q.target, body, out);
     });
