Zones apart: a controller that cannot reach the leader asks it over one that can

Ruled out: lost leases (none), spot waves (later). A heartbeat now says which leader its sender reaches itself; reports and vouches are forwarded over it, one hop and never a second. Test on virtual time, seen to fail without the third controller.

--- a/src/runtime/checkin.ts
+++ b/src/runtime/checkin.ts
@@ -3,7 +3,8 @@
 import type { CancellationFeed } from './cancellation-feed.js';
 import type { HttpReply } from './http-server.js';
 import type { Membership } from './membership.js';
-import type { PeerLink } from './peer-link.js';
+import { LeaderRoutes, type LeaderRoute } from './leader-route.js';
+import type { LeaderStatus, PeerLink } from './peer-link.js';
 import type { LeaderLoop } from './leader-loop.js';
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
@@ -66,6 +67,7 @@
   private readonly bounces = new Map<MachineId, Steady>();
   private readonly sentAway = new Map<MachineId, Steady>();
   private readonly vouching = new Vouching();
+  private readonly routes: LeaderRoutes;
   private readonly direct = new Rate();
   private readonly outcomes = new Map<Outcome, number>();
   private loggedAt = -Infinity;
@@ -81,7 +83,9 @@
     private readonly stateOk: () => boolean,
     private readonly cancelled: Pick<CancellationFeed, 'has' | 'mayRenew'>,
     private readonly clock: () => Steady = steady,
-  ) {}
+  ) {
+    this.routes = new LeaderRoutes(links, platform.name);
+  }
 
   /**
    * A leader was heard of, by us now or by a peer some time ago: keeping workers alive is bounded from here. A
@@ -131,10 +135,10 @@
     const report = parsed.value;
     if (!relayed) this.noteReport(report, now);
     if (this.membership.holdsLease) return [...this.asLeader(report, relayed, now), report.id];
-    const link = this.leaderLink(now);
-    if (link) {
-      if (link.status?.leading) this.leaderSeenAt = now;
-      return this.toLeader(report, body, link, now);
+    const route = this.leaderRoute(now);
+    if (route) {
+      if (route.leader.leading) this.leaderSeenAt = now;
+      return this.toLeader(report, body, route, now);
     }
     const refused = this.refusingLeader(now);
     if (refused && this.maySend(report, now)) return ['sent elsewhere', elsewhere(refused.name)];
@@ -208,19 +212,19 @@
   private async toLeader(
     report: Report,
     body: Buffer,
-    link: PeerLink,
+    route: LeaderRoute,
     now: Steady,
   ): Promise<[Outcome, HttpReply]> {
     const closer = this.closerTo(report, now);
     if (closer) return ['sent elsewhere', elsewhere(closer.name)];
-    const term = link.status!.term;
-    if (this.mayVouch(report, now) && this.vouching.covers(report, link, term))
+    const { term, leading } = route.leader;
+    if (this.mayVouch(report, now) && this.vouching.covers(report, route))
       return ['vouched for', answer(200, reportAnswer(term, []))];
-    const relayed = await link.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
+    const relayed = await route.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
     const bytes = relayed?.['body'];
     // One without authority may not be able to answer for the worker; then we may.
-    const useful = status === 200 || link.status?.leading === true;
+    const useful = status === 200 || leading;
     if (typeof status === 'number' && bytes instanceof Uint8Array && useful) {
       this.vouching.learn(report, term, status === 200 && relayed?.['quiet'] === true);
       return ['relayed', { status, body: Buffer.from(bytes) }];
@@ -278,16 +282,19 @@
     return !this.stateOk() && this.links.length > 0 && !this.links.some((l) => l.alive(now));
   }
 
-  /** The leader; else whoever holds its lease: it goes on learning where tasks are, and whom to fence. */
-  private leaderLink(now: Steady): PeerLink | null {
-    const term = highestTerm(this.membership.election);
-    const current = this.links.filter((l) => l.alive(now) && l.status !== null && l.status.term >= term);
-    return current.find((l) => l.status?.leading) ?? current.find((l) => l.status?.holding) ?? null;
+  /** To the leader; else to whoever holds its lease: it goes on learning where tasks are, and whom to fence. */
+  private leaderRoute(now: Steady): LeaderRoute | null {
+    return this.routes.find(highestTerm(this.membership.election), now);
+  }
+
+  /** The leader that this controller reaches without another one in between. */
+  get reachedLeader(): LeaderStatus | null {
+    return this.routes.reaches(highestTerm(this.membership.election), this.clock());
   }
 
   /** Somebody knows the whole cluster: this controller, or one that it can reach. */
   leaderInReach(now: Steady): boolean {
-    return (this.leading()?.core ?? null) !== null || this.leaderLink(now) !== null;
+    return (this.leading()?.core ?? null) !== null || this.leaderRoute(now) !== null;
   }
 
   /** Machines that reported to us themselves, and now are silent, with what they last held. */
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -11,6 +11,7 @@
 import type { HttpMessage } from './http-parser.js';
 import { HintStore, isHints } from './image-hints.js';
 import { LeaderLoop } from './leader-loop.js';
+import { FORWARD_TIMEOUT_MS, isLeaderRequest } from './leader-route.js';
 import { Logger } from './logger.js';
 import { Membership } from './membership.js';
 import { OverdueFences } from './overdue-fences.js';
@@ -22,7 +23,7 @@
 import type { Address, Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { MachineType } from '../core/types.js';
-import type { JobId, Steady } from '../core/units.js';
+import type { JobId, NodeName, Steady } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
 import { parsePosition } from '../wire/peers.js';
 import { keys, parseStoredTypes } from '../wire/state.js';
@@ -31,7 +32,7 @@
 const MAX_USER_REQUESTS = 32;
 const RESERVED_USER_REQUESTS = 8;
 const TYPES_REFRESH_MS = 30_000;
-const FORWARD_TIMEOUT_MS = 2000;
+const USER_FORWARD_TIMEOUT_MS = 2000;
 const USERS_LOG_MS = 10_000;
 const HINTS_MS = 1000;
 const FENCE_CHECK_MS = 1000;
@@ -234,7 +235,7 @@
     const peer = this.links.find((l) => l.alive(now) && l.status?.stateOk);
     if (!peer) return own;
     const { method, target, body } = q;
-    const a = await peer.ask({ kind: 'user', method, target, body }, FORWARD_TIMEOUT_MS);
+    const a = await peer.ask({ kind: 'user', method, target, body }, USER_FORWARD_TIMEOUT_MS);
     return forwarded(a) ?? own;
   }
 
@@ -262,6 +263,7 @@
       leading: authority && this.loop !== null,
       holding: this.membership.holdsLease && (this.loop?.core ?? null) !== null,
       term: highestTerm(this.membership.election),
+      reaches: this.checkin.reachedLeader,
       stateOk: this.stateOk(),
       hearing: this.checkin.hearing,
       leaderSeenAgoMs: this.checkin.leaderSeenAgoMs,
@@ -272,6 +274,7 @@
     if (typeof s.leaderSeenAgoMs === 'number') this.checkin.sawLeader(s.leaderSeenAgoMs);
     if (s.leading || s.holding) this.membership.learn(s.node, s.term);
     if (s.leading) this.checkin.sawLeader();
+    if (s.reaches) this.membership.learn(s.reaches.node, s.reaches.term);
   }
 
   private async answer(q: PeerRequest): Promise<PeerResponse> {
@@ -291,6 +294,8 @@
         const own = this.membership.election.held?.term === q.term;
         return { full: own && Array.isArray(q.machines) ? (this.loop?.vouched(q.machines) ?? null) : null };
       }
+      case 'forward':
+        return this.forward(q.to, q.request);
       case 'user': {
         const { method, target } = q;
         const message = {
@@ -316,6 +321,13 @@
     }
   }
 
+  /** For a peer that cannot reach the leader. Only what goes to a leader, so nothing is passed on twice. */
+  private async forward(to: NodeName, request: unknown): Promise<PeerResponse> {
+    const link = this.links.find((l) => l.name === to && l.alive(performance.now()));
+    if (!link || !isLeaderRequest(request)) return {};
+    return (await link.ask(request, FORWARD_TIMEOUT_MS)) ?? {};
+  }
+
   /** A new leader finds out by reports what runs where, but not which images are cached: its peers tell it. */
   private shareHints(): void {
     const all = this.loop?.core?.imageHints();
--- /dev/null
+++ b/src/runtime/leader-route.ts
@@ -0,0 +1,73 @@
+// The way to the leader: the link to it, or over a peer that reaches it while the network between the two is cut.
+import type { NodeName, Steady, Term } from '../core/units.js';
+import type { LeaderStatus, PeerLink, PeerRequest, PeerResponse } from './peer-link.js';
+
+/** What a peer passes on to the leader for a controller that cannot reach it. */
+export type LeaderRequest = Extract<PeerRequest, { kind: 'relay' | 'vouch' }>;
+
+export const isLeaderRequest = (request: unknown): request is LeaderRequest =>
+  typeof request === 'object' &&
+  request !== null &&
+  'kind' in request &&
+  (request.kind === 'relay' || request.kind === 'vouch');
+
+/** A peer gives up on the leader's answer before the controller that asked gives up on the peer. */
+export const FORWARD_TIMEOUT_MS = 2000;
+
+export interface LeaderRoute {
+  leader: LeaderStatus;
+  /** The peer in between; null when the leader is asked itself. */
+  over: NodeName | null;
+  ask: (request: LeaderRequest, timeoutMs: number) => Promise<PeerResponse | null>;
+}
+
+export const sameRoute = (a: LeaderRoute, b: LeaderRoute): boolean =>
+  a.leader.node === b.leader.node && a.leader.term === b.leader.term && a.over === b.over;
+
+const direct = (link: PeerLink): LeaderRoute | null => {
+  const { status } = link;
+  if (status === null || !(status.leading || status.holding)) return null;
+  const { node, term, leading, holding } = status;
+  return {
+    leader: { node, term, leading, holding },
+    over: null,
+    ask: (request, timeoutMs) => link.ask(request, timeoutMs),
+  };
+};
+
+const forwarded = (link: PeerLink): LeaderRoute | null => {
+  // A peer of an older version does not say whom it reaches.
+  const leader = link.status?.reaches ?? null;
+  if (leader === null || typeof leader.term !== 'number') return null;
+  return {
+    leader,
+    over: link.name,
+    ask: (request, timeoutMs) => link.ask({ kind: 'forward', to: leader.node, request }, timeoutMs),
+  };
+};
+
+const isRoute = (route: LeaderRoute | null): route is LeaderRoute => route !== null;
+
+/** Finds the way to the leader, or else to whoever holds its lease, among those of at least this term. */
+export class LeaderRoutes {
+  constructor(
+    private readonly links: PeerLink[],
+    private readonly self: NodeName,
+  ) {}
+
+  find(atLeast: Term, now: Steady): LeaderRoute | null {
+    const alive = this.links.filter((link) => link.alive(now));
+    const routes = [...alive.map(direct), ...alive.map(forwarded)]
+      .filter(isRoute)
+      .filter(({ leader }) => leader.term >= atLeast && leader.node !== this.self);
+    return (
+      routes.find((route) => route.leader.leading) ?? routes.find((route) => route.leader.holding) ?? null
+    );
+  }
+
+  /** The leader that this controller reaches itself: what it tells its peers, so that no request goes in a circle. */
+  reaches(atLeast: Term, now: Steady): LeaderStatus | null {
+    const route = this.find(atLeast, now);
+    return route?.over === null ? route.leader : null;
+  }
+}
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -8,6 +8,7 @@
 import type { NodeName, Steady, Term, Zone } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import { parseStatement } from '../wire/peers.js';
+import type { LeaderRequest } from './leader-route.js';
 
 const MAX_FRAME = 256 * 1024;
 const HEARTBEAT_MS = 400;
@@ -18,12 +19,17 @@
 const MAX_OPEN = 1024;
 const GATHER_MS = 5;
 
-export interface PeerStatus {
+export interface LeaderStatus {
   node: NodeName;
+  term: Term;
   leading: boolean;
   /** It holds the leader's lease and knows the cluster, with or without authority: in an outage nobody has any. */
   holding: boolean;
-  term: Term;
+}
+
+export interface PeerStatus extends LeaderStatus {
+  /** The leader that it reaches itself, so that others may reach it over this peer. */
+  reaches: LeaderStatus | null;
   stateOk: boolean;
   /** Workers reach it themselves. */
   hearing: boolean;
@@ -38,6 +44,8 @@
   | { kind: 'heard'; machines: string[] }
   | { kind: 'relay'; report: Uint8Array }
   | { kind: 'vouch'; term: Term; machines: Vouch[] }
+  /** To be passed on to a leader that the asker cannot reach; the answer is the leader's. */
+  | { kind: 'forward'; to: NodeName; request: LeaderRequest }
   | { kind: 'user'; method: string; target: string; body: Uint8Array }
   | { kind: 'hints'; images: ImageHints }
   | { kind: 'counts'; job: string };
--- a/src/runtime/vouching.ts
+++ b/src/runtime/vouching.ts
@@ -3,7 +3,8 @@
 import { sameTasks } from '../core/cluster.js';
 import type { Report, Vouch } from '../core/types.js';
 import { sameCounter, type Counter, type MachineId, type Term } from '../core/units.js';
-import type { PeerLink, PeerResponse } from './peer-link.js';
+import { sameRoute, type LeaderRoute } from './leader-route.js';
+import type { PeerResponse } from './peer-link.js';
 
 const GATHER_MS = 200;
 const TIMEOUT_MS = 1500;
@@ -21,7 +22,7 @@
 export class Vouching {
   private readonly known = new Map<MachineId, Known>();
   private batch = new Map<MachineId, Vouch>();
-  private batchOf: { link: PeerLink; term: Term } | null = null;
+  private batchRoute: LeaderRoute | null = null;
 
   /** The leader has read this report, and says whether its machine needs nothing and awaits nothing. */
   learn(report: Report, term: Term, quiet: boolean): void {
@@ -34,31 +35,31 @@
   }
 
   /** Whether this report can be answered here; if so the leader is told of it soon. */
-  covers(report: Report, link: PeerLink, term: Term): boolean {
+  covers(report: Report, route: LeaderRoute): boolean {
+    const { term } = route.leader;
     const k = this.known.get(report.id);
     if (!k || k.term !== term || !sameCounter(report.token, term) || report.noticeS !== null) return false;
     // An older report or a copy vouches for nothing.
     if (!sameCounter(report.session, k.base.session) || !(report.seq > k.seq)) return false;
     if (!sameTasks(report.tasks, k.base.tasks) || report.endpoint !== k.base.endpoint) return false;
     k.seq = report.seq;
-    this.add({ machine: report.id, session: report.session, seq: report.seq, base: k.base.seq }, link, term);
+    this.add({ machine: report.id, session: report.session, seq: report.seq, base: k.base.seq }, route);
     return true;
   }
 
-  private add(v: Vouch, link: PeerLink, term: Term): void {
-    if (this.batchOf && (this.batchOf.link !== link || this.batchOf.term !== term)) this.batch.clear();
-    this.batchOf = { link, term };
+  private add(v: Vouch, route: LeaderRoute): void {
+    if (this.batchRoute && !sameRoute(this.batchRoute, route)) this.batch.clear();
+    this.batchRoute = route;
     this.batch.set(v.machine, v);
     if (this.batch.size === 1) setTimeout(() => void this.send(), GATHER_MS);
   }
 
   private async send(): Promise<void> {
-    const { batchOf, batch } = this;
+    const { batchRoute: route, batch } = this;
     this.batch = new Map();
-    if (!batchOf || batch.size === 0) return;
-    const { link, term } = batchOf;
-    const a: PeerResponse | null = await link.ask(
-      { kind: 'vouch', term, machines: [...batch.values()] },
+    if (!route || batch.size === 0) return;
+    const a: PeerResponse | null = await route.ask(
+      { kind: 'vouch', term: route.leader.term, machines: [...batch.values()] },
       TIMEOUT_MS,
     );
     const full = a?.['full'];
--- /dev/null
+++ b/src/test/parted-zones.test.ts
@@ -0,0 +1,74 @@
+// Two zones with controllers can't reach each other, and a third controller reaches both. Whole controllers on
+// virtual time.
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { types } from './sim/day.js';
+import { playDay, type Meeting } from './sim/meeting.js';
+import type { Trouble } from './sim/network.js';
+import type { Setup } from './sim/service.js';
+import { LeaderRoutes } from '../runtime/leader-route.js';
+import type { JobId, Zone } from '../core/units.js';
+
+const zones = ['north', 'east', 'south'];
+const over: Partial<Setup> = {
+  zones,
+  controllers: zones,
+  types: types.map((t) => ({ ...t, zones: zones as Zone[] })),
+  // As many as are up: none is rented beside those that can't be reached.
+  capacity: 24,
+  up: { type: 'small', perZone: 8 },
+};
+const PARTED_MS = 30_000;
+const FOR_MS = 70_000;
+const SUBMITTED_MS = PARTED_MS + 10_000;
+/** Before any machine of the far zone would be fenced, and replaced by one that reports elsewhere. */
+const RUNNING_MS = PARTED_MS + 40_000;
+const FENCED_MS = PARTED_MS + FOR_MS - 5000;
+
+interface Seen {
+  broken: string[];
+  unfinished: string[];
+  /** Machines given back to the cloud while the zones were apart. */
+  fenced: number;
+  /** Tasks of the job bound to the far zone that run there soon after it was submitted. */
+  running: number;
+}
+
+const part = async (trouble: Trouble, seed: number): Promise<Seen> => {
+  let fenced = 0;
+  let running = 0;
+  const script = (m: Meeting): void => {
+    const { sim } = m;
+    let bound: JobId;
+    sim.at(10_000, () => [2, 4, 6].forEach((tasks) => m.submit({ tasks }, 120_000)));
+    let far: string;
+    sim.at(PARTED_MS, () => {
+      const near = sim.leader!.platform.zone;
+      far = zones.find((z) => z !== near)!;
+      sim.partZones(near, far, trouble, FOR_MS);
+    });
+    sim.at(SUBMITTED_MS, () => (bound = m.submit({ tasks: 4, zone: far as Zone }, 120_000)));
+    sim.at(RUNNING_MS, () => (running = sim.checker.machinesOf(bound).length));
+    sim.at(FENCED_MS, () => {
+      fenced = [...sim.cloud.returned.values()].filter((at) => at > PARTED_MS).length;
+    });
+  };
+  // Nothing is given back for being idle.
+  const operator = { scaling: [{ idle_hold_s: 600 }] };
+  const day = await playDay(seed, { over: { ...over, operator }, quietMs: 110_000, endMs: 330_000 }, script);
+  return { broken: day.broken, unfinished: day.unfinished, fenced, running };
+};
+
+for (const trouble of ['hold', 'refuse'] as const) {
+  test(`zones apart (${trouble}): the far zone is commanded over the third controller, and keeps its machines`, async () => {
+    for (const seed of [1, 2, 3])
+      assert.deepEqual(await part(trouble, seed), { broken: [], unfinished: [], fenced: 0, running: 4 });
+  });
+}
+
+test('zones apart: without the third controller the far zone gets no work and is fenced', async (t: TestContext) => {
+  t.mock.method(LeaderRoutes.prototype, 'reaches', () => null);
+  const { running, fenced } = await part('hold', 1);
+  assert.equal(running, 0);
+  assert.ok(fenced > 0);
+});
