--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -42,6 +42,18 @@
 }
 
 const anybody = (): boolean => true;
+
+/** Array work that leaves soon and goes on elsewhere from where it was. */
+const savesWithin = ({ job: { spec } }: Victim, seconds: number): boolean =>
+  spec.kind === 'array' && spec.checkpointS > 0 && spec.saveS < seconds;
+
+interface GangPlan {
+  slots: Slot[];
+  cost: number;
+  /** Expected seconds of the longest fetch: the gang starts with its slowest member. */
+  coldS: number;
+}
+
 const MAX_HOLDS = 8;
 const EMPTY: Map<Zone, number> = new Map();
 const OPEN_EMPTY_S = 8;
@@ -168,18 +180,22 @@
     const zones: (Zone | null)[] = job.spec.oneZone
       ? [...new Set(this.slots.map((s) => s.machine.info.zone))]
       : [null];
-    let bestPlan: { slots: Slot[]; cost: number } | null = null;
+    let bestPlan: GangPlan | null = null;
     for (const zone of zones) {
       const plan = this.planGang(job, pending.length, zone);
       if (plan && (bestPlan === null || plan.cost < bestPlan.cost)) bestPlan = plan;
     }
     if (bestPlan) {
+      if (this.preemptForWarmGang(job, pending.length, bestPlan, zones)) return;
       const only = pending.length === 1 ? bestPlan.slots[0]! : null;
       if (only && this.betterWait(job, only, new Map())) return;
       bestPlan.slots.forEach((slot, i) => this.assume(job, pending[i]!, slot, new Map()));
       return;
     }
-    for (const zone of zones) if (this.preemptForGang(job, pending.length, zone)) return;
+    for (const zone of zones) {
+      const choose = (): Nomination | null => this.freeOrNominated(job, zone);
+      if (this.preemptForGang(job, pending.length, zone, choose)) return;
+    }
     if (job.first) this.hold(job, pending.length, zones);
     job.reason = { why: 'no machine with room' };
     this.result.unplaced.push({ job, tasks: pending.length });
@@ -220,13 +236,15 @@
     }
   }
 
-  private planGang(job: Job, tasks: number, zone: Zone | null): { slots: Slot[]; cost: number } | null {
+  private planGang(job: Job, tasks: number, zone: Zone | null): GangPlan | null {
     const chosen: Slot[] = [];
     let cost = 0;
+    let coldS = 0;
     for (let i = 0; i < tasks; i++) {
       const slot = this.best(job, new Map(), zone);
       if (!slot) break;
       cost = Math.max(cost, this.score(job.spec, slot));
+      coldS = Math.max(coldS, fetchS(job.spec, slot));
       add(slot.free, job.spec, -1);
       this.ranked.get(job)?.changed(slot);
       chosen.push(slot);
@@ -237,22 +255,43 @@
       add(slot.free, job.spec); // only a plan so far
       this.ranked.get(job)?.changed(slot);
     }
-    return chosen.length === tasks ? { slots: chosen, cost } : null;
+    return chosen.length === tasks ? { slots: chosen, cost, coldS } : null;
+  }
+
+  private freeOrNominated(job: Job, zone: Zone | null): Nomination | null {
+    const free = this.best(job, EMPTY, zone);
+    return free ? { slot: free, list: [], cost: 0 } : this.nominate(job, EMPTY, zone);
   }
 
-  private preemptForGang(job: Job, tasks: number, zone: Zone | null): boolean {
+  /**
+   * An urgent gang starts with its slowest member: rather than wait for a long fetch it takes the place of lower array
+   * work that can save, on machines that have the image, for all members whose own machine is cold.
+   */
+  private preemptForWarmGang(job: Job, tasks: number, plan: GangPlan, zones: (Zone | null)[]): boolean {
+    if (plan.coldS < WORTH_PREEMPTING_S || priorityRank[job.spec.priority] < priorityRank.high) return false;
+    const whom = (v: Victim): boolean => savesWithin(v, plan.coldS / 2);
+    return zones.some((zone) =>
+      this.preemptForGang(job, tasks, zone, () => {
+        const free = this.best(job, EMPTY, zone);
+        if (free && fetchS(job.spec, free) <= plan.coldS / 2) return { slot: free, list: [], cost: 0 };
+        return this.nominateWarm(job, EMPTY, whom, zone);
+      }),
+    );
+  }
+
+  /** All members find a place, by `choose` one after the other, or nobody is stopped. */
+  private preemptForGang(
+    job: Job,
+    tasks: number,
+    zone: Zone | null,
+    choose: () => Nomination | null,
+  ): boolean {
     const victims: Victim[] = [];
     const reserved: Slot[] = [];
     const usedBefore = this.usage.get(job.spec.team);
     if (usedBefore) this.usage.set(job.spec.team, { ...usedBefore });
     for (let i = 0; i < tasks; i++) {
-      const free = this.best(job, new Map(), zone);
-      if (free) {
-        this.take(job, free, new Map());
-        reserved.push(free);
-        continue;
-      }
-      const found = this.nominate(job, new Map(), zone);
+      const found = choose();
       if (!found) break;
       victims.push(...found.list);
       this.reserve(job, found.slot, found.list, new Map());
@@ -363,11 +402,7 @@
     if (job.spec.kind !== 'service') return false;
     const coldS = fetchS(job.spec, slot);
     if (coldS < WORTH_PREEMPTING_S) return false;
-    const found = this.nominateWarm(
-      job,
-      zones,
-      (v) => v.job.spec.checkpointS > 0 && v.job.spec.saveS < coldS / 2 && v.job.spec.kind === 'array',
-    );
+    const found = this.nominateWarm(job, zones, (v) => savesWithin(v, coldS / 2), null);
     if (!found) return false;
     this.result.victims.push(...found.list);
     this.reserve(job, found.slot, found.list, zones);
@@ -472,12 +507,13 @@
     job: Job,
     zones: Map<Zone, number>,
     whom: (victim: Victim) => boolean,
+    only: Zone | null,
   ): Nomination | null {
     const slots = this.mayYield(priorityRank[job.spec.priority]);
     this.work += slots.length;
     let best: Nomination | null = null;
     for (const slot of slots) {
-      if (!slot.machine.hasImage(job.spec.image) || !this.allowed(job, slot, zones, null)) continue;
+      if (!slot.machine.hasImage(job.spec.image) || !this.allowed(job, slot, zones, only)) continue;
       const victims = this.victimsOn(job, slot, whom);
       if (victims && (best === null || victims.cost < best.cost)) best = { slot, ...victims };
     }
--- a/src/test/scheduler.test.ts
+++ b/src/test/scheduler.test.ts
@@ -116,6 +116,46 @@
   assert.deepEqual(show(cycle([a], [equal])), ['wk-3 waits for 2'], 'equal priority does not preempt');
 });
 
+test('an urgent gang takes the place of array work on a machine with its image rather than fetch for long', () => {
+  const cold = machine('a', 'large', 'east');
+  const warm = machine('b', 'small', 'west');
+  warm.useImage('img-1', 30);
+  const array = job('wk-9', { tasks: 2, priority: 'low', saveS: 2, checkpointS: 10 });
+  put(warm, array, 0);
+  put(warm, array, 1);
+  const gang = (over: Partial<JobSpec> = {}): Job =>
+    job('wk-1', { kind: 'gang', tasks: 2, priority: 'high', imageGb: 30, ...over });
+  const stops = ['stop wk-9/0', 'stop wk-9/1'];
+  assert.deepEqual(show(cycle([cold, warm], [gang()])), stops);
+  const onCold = ['wk-1/0 -> a', 'wk-1/1 -> a'];
+  assert.deepEqual(show(cycle([cold, warm], [gang({ priority: 'normal' })])), onCold, 'not urgent');
+  assert.deepEqual(show(cycle([cold, warm], [gang({ imageGb: 5 })])), onCold, 'a short fetch');
+  const tooLarge = gang({ tasks: 3 });
+  assert.deepEqual(
+    show(cycle([cold, warm], [tooLarge])),
+    ['wk-1/0 -> a', 'wk-1/1 -> a', 'wk-1/2 -> a'],
+    'one member would be cold all the same',
+  );
+  const slowToSave = job('wk-8', { tasks: 2, priority: 'low', saveS: 16, checkpointS: 10 });
+  const held = machine('c', 'small', 'west');
+  held.useImage('img-1', 30);
+  put(held, slowToSave, 0);
+  put(held, slowToSave, 1);
+  assert.deepEqual(show(cycle([cold, held], [gang()])), onCold, 'saving takes as long as half of the fetch');
+});
+
+test('while the victims of a warm gang leave, it neither takes a cold machine nor stops others', () => {
+  const cold = machine('a', 'large', 'east');
+  const warm = machine('b', 'small', 'west');
+  warm.useImage('img-1', 30);
+  const array = job('wk-9', { tasks: 2, priority: 'low', saveS: 2, checkpointS: 10 });
+  put(warm, array, 0).stop = { graceS: 2, since: now, why: 'preempted' };
+  put(warm, array, 1).stop = { graceS: 2, since: now, why: 'preempted' };
+  const gang = job('wk-1', { kind: 'gang', tasks: 2, priority: 'high', imageGb: 30 });
+  assert.deepEqual(show(cycle([cold, warm], [gang])), []);
+  assert.equal(gang.reason.why, 'waiting for victims');
+});
+
 test('while victims leave, the group waits and nobody behind it takes the room', () => {
   const a = machine('a', 'small', 'east');
   const low = job('wk-9', { tasks: 2, priority: 'low' });
