--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,15 +1,30 @@
 import js from '@eslint/js';
 import tseslint from 'typescript-eslint';
 
+/** `test()` of node:test returns a promise that the runner itself awaits. */
+const nodeTest = { from: 'package', package: 'node:test', name: ['test', 'it', 'describe'] };
+
 export default tseslint.config(
   { ignores: ['target/', 'node_modules/', 'journal/'] },
   js.configs.recommended,
-  ...tseslint.configs.strict,
+  ...tseslint.configs.strictTypeChecked,
   {
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
       eqeqeq: 'error',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       '@typescript-eslint/no-explicit-any': 'error',
       '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+      '@typescript-eslint/no-floating-promises': ['error', { allowForKnownSafeCalls: [nodeTest] }],
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true, allowNullish: false, allowAny: false },
+      ],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      // Fields change while a method awaits, which the compiler's narrowing doesn't see: it calls such checks needless.
+      '@typescript-eslint/no-unnecessary-condition': 'off',
     },
   },
+  { files: ['**/*.js'], ...tseslint.configs.disableTypeChecked },
 );
--- a/src/build/compile-settings.ts
+++ b/src/build/compile-settings.ts
@@ -2,14 +2,16 @@
 // controller.
 import { readFileSync, writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-import hcl from 'hcl2-json-parser';
+import hclParser from 'hcl2-json-parser';
 import { checkOperator } from '../config/operator.js';
 import { ConfigError } from '../config/check.js';
 
+/** The package comes without types. */
+const hcl = hclParser as { parseToObject: (source: string) => Promise<unknown> };
 const source = fileURLToPath(new URL('../../deploy/operator.hcl', import.meta.url));
 const output = fileURLToPath(new URL('../operator.json', import.meta.url));
 try {
-  const parsed: unknown = await hcl.parseToObject(readFileSync(source, 'utf8'));
+  const parsed = await hcl.parseToObject(readFileSync(source, 'utf8'));
   checkOperator(parsed);
   writeFileSync(output, JSON.stringify(parsed) + '\n');
   process.exit(0); // the parser's runtime would keep the process alive
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -3,7 +3,7 @@
 import { parseArgs } from 'node:util';
 import { ConfigError } from '../config/check.js';
 import { readOperator } from '../config/operator.js';
-import { readPlatform } from '../config/platform.js';
+import { platformWarnings, readPlatform } from '../config/platform.js';
 
 const USAGE = `brookspur: a cluster scheduler
 
@@ -51,6 +51,7 @@
     const platform = readPlatform(values.config);
     const operator = readOperator(fromTarget('operator.json'));
     if (values.check) {
+      for (const warning of platformWarnings(platform)) process.stdout.write(`warning: ${warning}\n`);
       process.stdout.write(`${values.config}: valid\n`);
       return 0;
     }
--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -96,6 +96,12 @@
   }
   const c = check(schema, raw, 'settings');
   const s = c.settings;
+  const names = s.teams.map((team) => team.name);
+  const twice = names.findIndex((name, i) => names.indexOf(name) < i);
+  if (twice >= 0)
+    throw new ConfigError(
+      `settings.teams.${twice}.name: "${names[twice]}" stands twice; expected one team of each name`,
+    );
   return {
     name: c.node_name as NodeName,
     zone: c.area as Zone,
@@ -136,6 +142,21 @@
   };
 };
 
+/** What is served all the same, but not as it was probably meant. */
+export const platformWarnings = ({ teams }: Platform): string[] => {
+  const warnings: string[] = [];
+  for (const team of teams) {
+    for (const [kind, guarantee, limit] of [
+      ['cpus', team.cpus, team.cpusMax],
+      ['gpus', team.gpus, team.gpusMax],
+    ] as const) {
+      if (limit === 0 || guarantee <= limit) continue;
+      warnings.push(`team ${team.name}: ${guarantee} ${kind} guaranteed, served up to the limit of ${limit}`);
+    }
+  }
+  return warnings;
+};
+
 export const readPlatform = (path: string): Platform => {
   let source: string;
   try {
--- a/src/core/cancellations.ts
+++ b/src/core/cancellations.ts
@@ -16,7 +16,7 @@
 }
 
 /** A peer's word, in answer to a question that says how much of its log the asker holds. */
-export interface Statement {
+export interface LogPage {
   incarnation: Incarnation;
   /** The position of the first job below. */
   from: number;
@@ -104,7 +104,7 @@
     return log ? { incarnation: log.incarnation, position: log.position } : null;
   }
 
-  statement(have: LogPosition | null, now: Steady): Statement {
+  pageAfter(have: LogPosition | null, now: Steady): LogPage {
     const known = have?.incarnation === this.incarnation ? have.position : 0;
     const from = Math.max(this.first, Math.min(known, this.end));
     const jobs = this.log.slice(from - this.first, from - this.first + PAGE);
@@ -113,7 +113,7 @@
   }
 
   /** Returns the jobs that are news. */
-  heard(peer: NodeName, s: Statement, askedAt: Steady, now: Steady): JobId[] {
+  heard(peer: NodeName, s: LogPage, askedAt: Steady, now: Steady): JobId[] {
     if (!this.peers.has(peer)) return [];
     const news = s.jobs.filter((job) => this.add(job, now));
     let log = this.peerLogs.get(peer);
@@ -155,7 +155,7 @@
   /** Bounded by age, and so by the rate at which the state service takes cancellations. */
   private forgetOld(now: Steady): void {
     let drop = 0;
-    while (drop < this.log.length && now - this.learnedAt.get(this.log[drop]!)! > this.keptMs) drop++;
+    while (drop < this.log.length && now - this.learnedAt.get(this.log[drop])! > this.keptMs) drop++;
     if (drop === 0) return;
     for (const job of this.log.splice(0, drop)) this.learnedAt.delete(job);
     this.first += drop;
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -40,8 +40,8 @@
 export const sameTasks = (a: ReportedTask[], b: ReportedTask[]): boolean => {
   if (a.length !== b.length) return false;
   for (let i = 0; i < a.length; i++) {
-    const x = a[i]!;
-    const y = b[i]!;
+    const x = a[i];
+    const y = b[i];
     if (x.state !== y.state || x.attempt !== y.attempt || x.index !== y.index || x.job !== y.job)
       return false;
   }
@@ -145,7 +145,7 @@
         load.leaving = true;
         continue;
       }
-      if (placement.shielded) continue;
+      if (placement.unpreemptible) continue;
       for (let rank = priorityRank[spec.priority] + 1; rank < load.below.length; rank++)
         add((load.below[rank] ??= nothing()), spec);
     }
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -21,7 +21,7 @@
   runningSince: Steady | null;
   stop: { graceS: number; since: Steady; why: string } | null;
   /** Started after a long wait: not preempted, or it would starve all the same. */
-  shielded: boolean;
+  unpreemptible: boolean;
 }
 
 export const newPlacement = (
@@ -41,7 +41,7 @@
   running: false,
   runningSince: null,
   stop: null,
-  shielded: false,
+  unpreemptible: false,
 });
 
 export type WaitReason =
@@ -61,7 +61,7 @@
   readonly durable: Uint8Array;
   doneCount = 0;
   /** Chunks with completions that the state service doesn't hold yet. */
-  readonly dirty = new Set<number>();
+  readonly unsavedChunks = new Set<number>();
   readonly writing = new Set<number>();
   /** Chunks that have a key in the state service. */
   readonly stored = new Set<number>();
@@ -80,11 +80,13 @@
   loggedReason = '';
   finalizing = false;
   /** A controller says that its user was told it is cancelled; the record that says so may not have reached us. */
-  calledOffAt: Steady | null = null;
+  cancellationConfirmedAt: Steady | null = null;
   /** Has waited long with none of its tasks placed. */
-  aged = false;
+  waitedLong = false;
   /** Goes before the others, and room is held for it. */
-  first = false;
+  starving = false;
+  /** Fits its team's guarantee together with the team's earlier unfinished jobs. */
+  withinGuarantee = false;
   /** Machines being kept free for it. */
   readonly held = new Set<MachineId>();
   everRan = false;
@@ -109,14 +111,17 @@
   }
 
   get cancelled(): boolean {
-    return this.record.cancelledAt !== null || this.calledOffAt !== null;
+    return this.record.cancelledAt !== null || this.cancellationConfirmedAt !== null;
   }
 
   /** For how long its user may have known that it is cancelled. */
   cancelledForMs(now: Steady, wall: WallTime): number {
     const { cancelledAt } = this.record;
     const byRecord = cancelledAt === null ? -Infinity : wall - cancelledAt;
-    return Math.max(byRecord, this.calledOffAt === null ? -Infinity : now - this.calledOffAt);
+    return Math.max(
+      byRecord,
+      this.cancellationConfirmedAt === null ? -Infinity : now - this.cancellationConfirmedAt,
+    );
   }
 
   get allDone(): boolean {
@@ -134,19 +139,19 @@
   }
 
   isDone(index: number): boolean {
-    return (this.done[index >> 3]! & (1 << (index & 7))) !== 0;
+    return (this.done[index >> 3] & (1 << (index & 7))) !== 0;
   }
 
   isDurable(index: number): boolean {
-    return (this.durable[index >> 3]! & (1 << (index & 7))) !== 0;
+    return (this.durable[index >> 3] & (1 << (index & 7))) !== 0;
   }
 
   markDone(index: number): void {
     if (index >= this.spec.tasks || this.isDone(index)) return;
-    this.done[index >> 3]! |= 1 << (index & 7);
+    this.done[index >> 3] |= 1 << (index & 7);
     this.doneCount++;
     if (this.placements.has(index)) this.placedNotDone--;
-    this.dirty.add(Math.floor(index / CHUNK_TASKS));
+    this.unsavedChunks.add(Math.floor(index / CHUNK_TASKS));
   }
 
   /** The first n tasks that are neither done nor placed; none is taken away. */
@@ -188,8 +193,8 @@
     this.stored.add(chunk);
     const start = (chunk * CHUNK_TASKS) / 8;
     for (let i = 0; i < bytes.length && start + i < this.durable.length; i++) {
-      this.durable[start + i]! |= bytes[i]!;
-      this.done[start + i]! |= bytes[i]!;
+      this.durable[start + i] |= bytes[i];
+      this.done[start + i] |= bytes[i];
     }
     let count = 0;
     for (const byte of this.done) for (let b = byte; b !== 0; b &= b - 1) count++;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -4,7 +4,8 @@
 import { Job, newPlacement } from './job.js';
 import { commandsFor } from './reconcile.js';
 import { runCycle } from './scheduler.js';
-import { Suitability } from './suitability.js';
+import { markGuaranteed } from './scheduler/guarantees.js';
+import { TypePenalties } from './type-penalties.js';
 import type {
   Command,
   JobRecord,
@@ -14,7 +15,7 @@
   MachineType,
   Report,
   TeamLimits,
-  Vouch,
+  UnchangedReport,
 } from './types.js';
 import {
   attemptOf,
@@ -26,7 +27,7 @@
   type WallTime,
 } from './units.js';
 import { Completion } from './leader/completion.js';
-import type { Effect, ImageHints, LeaderSettings } from './leader/effects.js';
+import type { Effect, ImageLocations, LeaderSettings } from './leader/effects.js';
 import { Fleet } from './leader/fleet.js';
 import { Queue } from './leader/queue.js';
 import { Renting } from './leader/renting.js';
@@ -43,7 +44,7 @@
 
 export class Leader {
   private readonly teams: Map<Team, TeamLimits>;
-  private readonly suits = new Suitability();
+  private readonly typePenalties = new TypePenalties();
   /** Machines that the last cycle looked at: its cost. */
   lastCycleWork = 0;
   private attempts = 0;
@@ -92,8 +93,8 @@
     return this.reports.onReport(report, now);
   }
 
-  onVouch(v: Vouch, now: Steady): boolean {
-    return this.reports.onVouch(v, now);
+  onUnchangedReport(v: UnchangedReport, now: Steady): boolean {
+    return this.reports.onUnchangedReport(v, now);
   }
 
   /** Needs no command and awaits nothing: its unchanged reports need not be read. */
@@ -134,22 +135,22 @@
   }
 
   /** Which machine caches what: told to the other controllers, since reports don't say it. */
-  imageHints(): ImageHints {
-    const hints: ImageHints = {};
-    for (const m of this.state.machines.values()) if (m.up) hints[m.id] = m.imageList();
-    return hints;
+  imageLocations(): ImageLocations {
+    const locations: ImageLocations = {};
+    for (const m of this.state.machines.values()) if (m.up) locations[m.id] = m.imageList();
+    return locations;
   }
 
   /** What the leader before us knew of the machines' caches. A wrong hint costs a fetch, nothing else. */
-  loadImageHints(hints: ImageHints): void {
-    for (const [id, images] of Object.entries(hints)) {
+  loadImageLocations(locations: ImageLocations): void {
+    for (const [id, images] of Object.entries(locations)) {
       for (const [image, gb] of images) this.state.machines.get(id as MachineId)?.useImage(image, gb);
     }
   }
 
   setTypes(types: MachineType[]): void {
     this.state.types = types;
-    this.suits.setTypes(types);
+    this.typePenalties.setTypes(types);
     for (const m of this.state.machines.values())
       m.type = types.find((t) => t.name === m.info.type) ?? m.type;
   }
@@ -174,21 +175,22 @@
     }
     const job = new Job(id, record, stamp, inherited, now);
     this.state.jobs.set(id, job);
-    this.state.news = true;
+    this.state.changedSinceTick = true;
     this.renting.arrivals.note(record, now, wall);
-    this.suits.note(record.spec);
-    this.state.dirty = true;
-    this.state.log('debug', { job: id, class: record.spec.class, tasks: record.spec.tasks }, 'job known');
+    this.typePenalties.note(record.spec);
+    this.state.needsScheduling = true;
+    const { class: name, tasks, image, estimateS, deadlineS } = record.spec;
+    this.state.log('debug', { job: id, class: name, tasks, image, estimateS, deadlineS }, 'job known');
   }
 
   /** A controller has told its user that it is cancelled; its record may reach us much later. */
   learnCancelled(id: JobId, now: Steady): void {
     const job = this.state.jobs.get(id);
-    if (!job || job.calledOffAt !== null) return;
+    if (!job || job.cancellationConfirmedAt !== null) return;
     const news = !job.cancelled;
-    job.calledOffAt = now;
+    job.cancellationConfirmedAt = now;
     if (news) this.state.cancel(job, now);
-    this.state.news = true;
+    this.state.changedSinceTick = true;
   }
 
   loadProgress(id: JobId, chunk: number, bytes: Uint8Array): void {
@@ -203,13 +205,18 @@
   }
 
   /** Whether anything has come in since the last tick that a tick could act on. */
-  get hasNews(): boolean {
-    return this.state.news || this.state.dirty || this.state.pokes.size > 0 || this.state.effects.length > 0;
+  get hasChanges(): boolean {
+    return (
+      this.state.changedSinceTick ||
+      this.state.needsScheduling ||
+      this.state.machinesToCommand.size > 0 ||
+      this.state.effects.length > 0
+    );
   }
 
   tick(now: Steady, wall: WallTime): void {
-    this.state.news = false;
-    if (this.unauthorised) this.fleet.listenAnew(now);
+    this.state.changedSinceTick = false;
+    if (this.unauthorised) this.fleet.restartSilence(now);
     this.unauthorised = false;
     this.fleet.enroll(now);
     this.fleet.watchSilence(now, wall);
@@ -217,7 +224,7 @@
     this.completion.finishJobs(now);
     if (this.readyToPlace(now)) this.schedule(now, wall);
     this.fleet.returnLeaving(now);
-    this.poke(now);
+    this.dispatchCommands(now);
     this.logFleet(now);
   }
 
@@ -226,11 +233,11 @@
    * same: that is final, whoever leads next, and in an outage of the state service nobody has authority to wait for.
    */
   tickWithoutAuthority(now: Steady, wall: WallTime): void {
-    this.state.news = false;
+    this.state.changedSinceTick = false;
     this.unauthorised = true;
     this.fleet.fenceOverdue(now, wall);
     this.fleet.returnLeaving(now, true);
-    for (const m of [...this.state.pokes]) {
+    for (const m of [...this.state.machinesToCommand]) {
       if (m.orderOpen || !m.settled || !m.endpointKnown) continue;
       const stops = commandsFor(m, this.state.jobs, now).filter(
         (c) => c.op === 'stop' && this.state.jobs.get(c.job)?.cancelled,
@@ -244,31 +251,35 @@
   private readyToPlace(now: Steady): boolean {
     if (this.rebuilt) return true;
     const waited = now - this.state.startedAt;
-    if (this.state.blockers.size > 0 && waited < this.settings.workers.reportS * 1250 + 1500) return false;
+    if (this.state.unheardMachines.size > 0 && waited < this.settings.workers.reportS * 1250 + 1500)
+      return false;
     this.rebuilt = true;
     this.state.log(
       'info',
-      { afterMs: Math.round(waited), silent: this.state.blockers.size, jobs: this.state.jobs.size },
+      { afterMs: Math.round(waited), silent: this.state.unheardMachines.size, jobs: this.state.jobs.size },
       'rebuilt',
     );
     return true;
   }
 
   private schedule(now: Steady, wall: WallTime): void {
-    if (!this.state.dirty && !this.hasDue(now)) return;
-    this.state.dirty = false;
+    if (!this.state.needsScheduling && !this.hasDue(now)) return;
+    this.state.needsScheduling = false;
+    markGuaranteed(this.state.jobs.values(), this.teams);
     const { queue, blocked } = this.queue.waiting(now, wall);
     const result = runCycle({
       machines: this.state.machines,
       queue,
+      jobs: this.state.jobs.values(),
       specOf: this.state.specOf,
       usage: this.queue.teamUsage(),
       teams: this.teams,
       now,
+      wall,
       silentMs: this.settings.workers.reportS * 2500,
       maxTasks: MAX_TASKS_A_CYCLE,
       maxWork: this.settings.cycleWork,
-      suits: (spec, type) => this.suits.penalty(spec, type),
+      typePenalty: (spec, type) => this.typePenalties.penalty(spec, type),
     });
     this.lastCycleWork = result.work;
     for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
@@ -280,7 +291,10 @@
       gangAttempts.set(a.job.id, shared);
       p.attempt = shared;
     }
-    for (const v of result.victims) this.state.evict(v.job, v.placement, 'preempted', now);
+    for (const { job, placement, guaranteeOf } of result.victims) {
+      const why = guaranteeOf === undefined ? 'preempted' : `preempted for the guarantee of ${guaranteeOf}`;
+      this.state.evict(job, placement, why, now);
+    }
     for (const { job } of result.unplaced) {
       job.rejections++;
       job.rejectedAtWake = this.state.wakes;
@@ -288,7 +302,7 @@
       // Individual times: groups rejected together must not come back in one wave.
       job.backoffUntil = now + delay * (0.5 + this.settings.random());
     }
-    if (result.unfinished.length > 0) this.state.dirty = true;
+    if (result.unfinished.length > 0) this.state.needsScheduling = true;
     this.explain(queue);
     this.renting.scale([...result.unplaced.map((u) => u.job), ...result.unfinished, ...blocked], now);
   }
@@ -306,8 +320,8 @@
     m.assign(job, p);
     m.idleSince = null;
     job.rejections = 0;
-    p.shielded = job.first;
-    this.state.pokes.add(m);
+    p.unpreemptible = job.starving;
+    this.state.machinesToCommand.add(m);
     this.state.log(
       'debug',
       { job: job.id, task: index, machine: m.id, waitedS: (now - job.waitingSince) / 1000 },
@@ -322,15 +336,19 @@
       if (why === job.loggedReason) continue;
       job.loggedReason = why;
       if (why !== '')
-        this.state.log('info', { job: job.id, class: job.spec.class, ...job.reason }, 'job waits');
+        this.state.log(
+          'info',
+          { job: job.id, class: job.spec.class, withinGuarantee: job.withinGuarantee, ...job.reason },
+          'job waits',
+        );
     }
   }
 
   /** Tells workers of new starts and stops at once, without waiting for their next report. */
-  private poke(now: Steady): void {
-    for (const m of [...this.state.pokes]) {
+  private dispatchCommands(now: Steady): void {
+    for (const m of [...this.state.machinesToCommand]) {
       if (m.orderOpen) continue;
-      this.state.pokes.delete(m);
+      this.state.machinesToCommand.delete(m);
       if (!m.settled || !m.endpointKnown || this.state.machines.get(m.id) !== m) continue;
       // The bound keeps reports short on a machine that runs many tasks under one leader.
       const direct = m.unreapable.size < MAX_UNREAPABLE;
@@ -338,7 +356,7 @@
         (c) => c.op === 'stop' || (c.op === 'start' && direct),
       );
       if (commands.length === 0) {
-        if (m.roster !== 'durable' && m.placements.size > 0) this.state.pokes.add(m);
+        if (m.roster !== 'durable' && m.placements.size > 0) this.state.machinesToCommand.add(m);
         continue;
       }
       for (const c of commands) {
@@ -399,13 +417,14 @@
       placed: j.placements.size,
       running: j.runningCount,
       waits: j.pendingCount > 0 ? j.reason : null,
+      withinGuarantee: j.withinGuarantee,
     }));
     return {
       term: this.leadership.term,
       machines: this.state.machines.size,
-      silent: this.state.blockers.size,
+      silent: this.state.unheardMachines.size,
       jobs,
     };
   }
 }
-export type { Effect, FinishOutcome, ImageHints, LeaderSettings } from './leader/effects.js';
+export type { Effect, FinishOutcome, ImageLocations, LeaderSettings } from './leader/effects.js';
--- a/src/core/leader/completion.ts
+++ b/src/core/leader/completion.ts
@@ -19,14 +19,14 @@
       const gone = job.placements.size === 0 && !this.state.mayBeOnSilent(job);
       if (job.allDone || (job.cancelled && gone)) {
         job.finalizing = true;
-        const state = job.cancelled ? 'withdrawn' : 'done';
+        const state = job.cancelled ? 'cancelled' : 'done';
         const chunks = [...job.stored];
         const { id, stamp } = job;
         this.state.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, chunks });
-      } else if (flush && job.dirty.size > 0 && !job.cancelled) {
-        for (const chunk of job.dirty) {
+      } else if (flush && job.unsavedChunks.size > 0 && !job.cancelled) {
+        for (const chunk of job.unsavedChunks) {
           if (job.writing.has(chunk)) continue;
-          job.dirty.delete(chunk);
+          job.unsavedChunks.delete(chunk);
           job.writing.add(chunk);
           this.state.effects.push({
             kind: 'progress',
@@ -44,7 +44,7 @@
     if (!job) return;
     job.writing.delete(chunk);
     if (ok) job.confirmChunk(chunk, bytes);
-    else job.dirty.add(chunk);
+    else job.unsavedChunks.add(chunk);
   }
 
   onFinished(id: JobId, outcome: FinishOutcome, now: Steady): void {
@@ -63,10 +63,10 @@
     for (const p of [...job.placements.values()]) {
       const m = this.state.machines.get(p.machine);
       m?.unassign(job.id, p.index);
-      if (m) this.state.pokes.add(m);
+      if (m) this.state.machinesToCommand.add(m);
     }
     this.state.jobs.delete(id);
-    this.state.dirty = true;
+    this.state.needsScheduling = true;
     this.state.log('debug', { job: id, cancelled: job.cancelled }, 'job finished');
   }
 }
--- a/src/core/leader/effects.ts
+++ b/src/core/leader/effects.ts
@@ -12,7 +12,7 @@
   | { kind: 'orders'; machine: MachineId; endpoint: Endpoint; session: Counter; commands: Command[] }
   | { kind: 'log'; level: 'info' | 'debug'; fields: Record<string, unknown>; text: string };
 
-export type ImageHints = Record<string, [string, number][]>;
+export type ImageLocations = Record<string, [string, number][]>;
 
 export interface LeaderSettings {
   workers: WorkerTimes;
--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -31,7 +31,7 @@
   private lastReturn = -Infinity;
   /** When many machines were last silent together. */
   private manyAt = -Infinity;
-  private listeningSince = -Infinity;
+  private silenceFrom = -Infinity;
 
   constructor(private readonly state: LeaderState) {}
 
@@ -43,7 +43,7 @@
     this.roster.load(page, m.info);
     m.inherited = true;
     m.up = true; // it had tasks or was about to
-    this.state.blockers.add(info.id);
+    this.state.unheardMachines.add(info.id);
   }
 
   onList(listed: ListedMachine[], now: Steady): void {
@@ -83,10 +83,10 @@
         this.state.lost(job, placement, 'machine gone', now);
       this.state.machines.delete(id);
       this.state.gone.set(id, now);
-      this.state.blockers.delete(id);
-      this.state.pokes.delete(m);
+      this.state.unheardMachines.delete(id);
+      this.state.machinesToCommand.delete(m);
       if (m.page !== null) this.roster.remove(m.page, id);
-      this.state.dirty = true;
+      this.state.needsScheduling = true;
     }
   }
 
@@ -96,7 +96,7 @@
       if (!m || m.roster === 'durable') continue;
       m.roster = 'durable';
       m.quiet = false;
-      if (m.placements.size > 0) this.state.pokes.add(m);
+      if (m.placements.size > 0) this.state.machinesToCommand.add(m);
     }
   }
 
@@ -118,13 +118,13 @@
   }
 
   /** Authority is back: what could not be heard meanwhile has its time to be heard. */
-  listenAnew(now: Steady): void {
-    this.listeningSince = now;
+  restartSilence(now: Steady): void {
+    this.silenceFrom = now;
   }
 
   private silentSince(m: Machine): Steady {
     const { startedAt } = this.state;
-    return Math.max(m.lastReportAt ?? startedAt, this.listeningSince) as Steady;
+    return Math.max(m.lastReportAt ?? startedAt, this.silenceFrom) as Steady;
   }
 
   private get patienceMs(): number {
@@ -204,14 +204,14 @@
    * waited for longer: of many such machines most are whole, and end the tasks or lose their lease by themselves.
    */
   private overdueJobs(now: Steady, wall: WallTime): Job[] {
-    if (this.state.blockers.size === 0) return [];
+    if (this.state.unheardMachines.size === 0) return [];
     const limitMs = this.state.settings.workers.cancelS * 1000 * MAYBE_OVERDUE_CANCELS;
     const overdue = (job: Job): boolean => job.cancelled && job.cancelledForMs(now, wall) > limitMs;
     return [...this.state.jobs.values()].filter(overdue);
   }
 
   private mayHoldAnyOf(jobs: Job[], m: Machine): boolean {
-    return this.state.blockers.has(m.id) && jobs.some((job) => this.state.mayBeOn(job, m));
+    return this.state.unheardMachines.has(m.id) && jobs.some((job) => this.state.mayBeOn(job, m));
   }
 
   /** Within this time a worker that is up has reported to a new leader, whichever controllers it tries before. */
--- a/src/core/leader/queue.ts
+++ b/src/core/leader/queue.ts
@@ -8,7 +8,7 @@
 const HOPELESS_MS = 86_400_000;
 
 /** Whole groups before those that start piece by piece, which would take the room held for them; then by age. */
-const firstOrder = (a: Job, b: Job): number =>
+const starvingOrder = (a: Job, b: Job): number =>
   Number(b.spec.kind === 'gang') - Number(a.spec.kind === 'gang') ||
   a.record.submittedAt - b.record.submittedAt;
 
@@ -35,7 +35,7 @@
     for (const job of this.state.jobs.values()) {
       if (job.cancelled || job.finalizing || job.pendingCount === 0) continue;
       const idleMs = job.everRan ? now - job.waitingSince : wall - job.record.submittedAt;
-      job.aged = job.placements.size === 0 && idleMs > this.state.settings.agingS * 1000;
+      job.waitedLong = job.placements.size === 0 && idleMs > this.state.settings.agingS * 1000;
       if (this.state.mayBeOnSilent(job)) {
         job.reason = { why: 'task may still run on a silent machine' };
       } else if (now < job.errorUntil) {
@@ -46,13 +46,14 @@
         queue.push(job);
       }
     }
-    this.chooseFirst(queue);
+    this.chooseStarving(queue);
     const dues = new Map(queue.map((j) => [j, this.due(j, wall)]));
     const due = (j: Job): number => dues.get(j)!;
     queue.sort(
       (a, b) =>
-        Number(b.first) - Number(a.first) ||
-        (a.first ? firstOrder(a, b) : 0) ||
+        Number(b.starving) - Number(a.starving) ||
+        (a.starving ? starvingOrder(a, b) : 0) ||
+        Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
         priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
         workLeft(a) - workLeft(b) ||
         due(a) - due(b) ||
@@ -66,12 +67,12 @@
    * goes on being served, and large groups begin, through bursts of higher priority. Only these: where all are late,
    * priorities still hold among the others.
    */
-  private chooseFirst(queue: Job[]): void {
+  private chooseStarving(queue: Job[]): void {
     const oldest = new Map<string, Job>();
     const largest = new Map<string, Job>();
     for (const job of queue) {
-      job.first = false;
-      if (!job.aged) continue;
+      job.starving = false;
+      if (!job.waitedLong) continue;
       const { class: name, tasks } = job.spec;
       const old = oldest.get(name);
       if (!old || job.record.submittedAt < old.record.submittedAt) oldest.set(name, job);
@@ -80,7 +81,7 @@
       if (!large || tasks > large.spec.tasks || (same && job.record.submittedAt < large.record.submittedAt))
         largest.set(name, job);
     }
-    for (const job of [...oldest.values(), ...largest.values()]) job.first = true;
+    for (const job of [...oldest.values(), ...largest.values()]) job.starving = true;
   }
 
   /**
@@ -103,7 +104,7 @@
 
   inBackoff(job: Job, now: Steady): boolean {
     // Never for one that has waited long: the room held for it would go to others while it is in back-off.
-    return !job.aged && now < job.backoffUntil && job.rejectedAtWake === this.state.wakes;
+    return !job.waitedLong && now < job.backoffUntil && job.rejectedAtWake === this.state.wakes;
   }
 
   teamUsage(): Map<Team, Amounts> {
--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -59,7 +59,7 @@
       this.refusals.delete(key);
     }
     this.state.log('info', { request, ...order, got }, 'rental answered');
-    this.state.dirty = true;
+    this.state.needsScheduling = true;
   }
 
   /**
@@ -92,7 +92,7 @@
       wants.push({
         spec: job.spec,
         tasks: gang ? job.spec.tasks : tasks,
-        zones: gang ? new Map() : zones,
+        zones: gang ? new Map<Zone, number>() : zones,
         expected: false,
       });
     }
@@ -104,7 +104,7 @@
    * whole fleet of such machines would be for nothing.
    */
   private wasUpBefore(m: Machine): boolean {
-    return !this.state.blockers.has(m.id) && m.rentedAt < this.state.startedAt;
+    return !this.state.unheardMachines.has(m.id) && m.rentedAt < this.state.startedAt;
   }
 
   scale(waiting: Job[], now: Steady): void {
--- a/src/core/leader/reports.ts
+++ b/src/core/leader/reports.ts
@@ -2,7 +2,7 @@
 import { Machine, UNHEEDED_IS_DEAF, attemptKey, sameTasks } from '../cluster.js';
 import { newPlacement, type Job, type Placement } from '../job.js';
 import { commandsFor } from '../reconcile.js';
-import type { Command, Report, ReportedTask, Vouch } from '../types.js';
+import type { Command, Report, ReportedTask, UnchangedReport } from '../types.js';
 import { sameCounter, type MachineId, type Steady } from '../units.js';
 import type { Fleet } from './fleet.js';
 import type { LeaderState } from './state.js';
@@ -35,7 +35,7 @@
       const p = this.state.jobs.get(c.job)?.placements.get(c.index);
       if (p) p.sentWith = { session: report.session, seq: report.seq };
     }
-    this.state.pokes.delete(m);
+    this.state.machinesToCommand.delete(m);
     return commands;
   }
 
@@ -43,7 +43,7 @@
    * A report that said the same as one we have read, and was answered without commands; false: the next one is needed
    * in full. A vouch settles nothing: a machine that awaits anything is not vouched for.
    */
-  onVouch(v: Vouch, now: Steady): boolean {
+  onUnchangedReport(v: UnchangedReport, now: Steady): boolean {
     const m = this.state.machines.get(v.machine);
     if (!m || m.lastReportAt === null || !sameCounter(v.session, m.session)) return false;
     // Overtaken by a newer one: it says nothing, not even that the machine is alive now.
@@ -107,7 +107,7 @@
       m.readSeq = report.seq;
       return m;
     }
-    this.state.news = true;
+    this.state.changedSinceTick = true;
     if (!m.up || m.lastReportAt === null) this.cameUp(m, now);
     m.info = {
       id: report.id,
@@ -132,8 +132,8 @@
     if (!m.settled) {
       m.settled = sameCounter(report.token, this.state.leadership.term);
       if (!m.settled) return m;
-      this.state.blockers.delete(m.id);
-      this.state.dirty = true;
+      this.state.unheardMachines.delete(m.id);
+      this.state.needsScheduling = true;
     }
     this.noteHeeded(m, report, previousAt, now);
     this.digest(m, report, now);
@@ -144,7 +144,7 @@
   }
 
   private cameUp(m: Machine, now: Steady): void {
-    this.state.dirty = true;
+    this.state.needsScheduling = true;
     this.state.wake();
     if (m.roster === 'none') m.idleSince = now;
     this.state.log('debug', { machine: m.id, bootS: (now - m.rentedAt) / 1000 }, 'machine up');
@@ -297,7 +297,8 @@
       { job: job.id, task: t.index, machine: m.id, cause: t.cause, saved: t.saved, why: wanted?.why ?? null },
       'task ended without completing',
     );
-    if (job.spec.kind === 'gang') this.state.breakGang(job, `member ${t.index}: ${t.cause}`, now);
+    if (job.spec.kind === 'gang')
+      this.state.breakGang(job, `member ${t.index}: ${t.cause ?? 'no cause told'}`, now);
   }
 
   /** Bad machines and bad jobs are told apart: several jobs failing here condemn the machine, one job alone not. */
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -12,17 +12,17 @@
   readonly jobs = new Map<JobId, Job>();
   types: MachineType[] = [];
   /** Machines that may hold tasks of an earlier leader and have not reported under our token. */
-  readonly blockers = new Set<MachineId>();
+  readonly unheardMachines = new Set<MachineId>();
   /** Machines whose return was answered: lists lag and go on showing them for a while. */
   readonly gone = new Map<MachineId, Steady>();
-  readonly pokes = new Set<Machine>();
+  readonly machinesToCommand = new Set<Machine>();
   /** Zones of which half or more was silent a moment ago, and when. */
   readonly cutZones = new Map<Zone, Steady>();
   /** The cloud has listed its machines to this leader. */
   listed = false;
   effects: Effect[] = [];
-  dirty = true;
-  news = true;
+  needsScheduling = true;
+  changedSinceTick = true;
   wakes = 0;
 
   specOf = (id: JobId): Amounts | null => this.jobs.get(id)?.spec ?? null;
@@ -38,8 +38,8 @@
    * it only where the job's types, zones and kinds of machine allow, and a record's description never changes.
    */
   mayBeOnSilent(job: Job): boolean {
-    if (!job.inherited || this.blockers.size === 0) return false;
-    return this.blockerKinds().some((m) => this.mayBeOn(job, m));
+    if (!job.inherited || this.unheardMachines.size === 0) return false;
+    return this.unheardKinds().some((m) => this.mayBeOn(job, m));
   }
 
   /** Whether an earlier leader may have started a task of the job on this machine, which has not been heard since. */
@@ -54,15 +54,15 @@
   private kinds: { of: number; list: Machine[] } | null = null;
 
   /** One silent machine of each type, zone and kind. */
-  private blockerKinds(): Machine[] {
+  private unheardKinds(): Machine[] {
     const key = (m: Machine): string => `${m.info.type}|${m.info.zone}|${m.info.spot}`;
-    if (this.kinds && this.kinds.of === this.blockers.size) return this.kinds.list;
+    if (this.kinds && this.kinds.of === this.unheardMachines.size) return this.kinds.list;
     const byKind = new Map<string, Machine>();
-    for (const id of this.blockers) {
+    for (const id of this.unheardMachines) {
       const m = this.machines.get(id);
       if (m) byKind.set(key(m), m);
     }
-    this.kinds = { of: this.blockers.size, list: [...byKind.values()] };
+    this.kinds = { of: this.unheardMachines.size, list: [...byKind.values()] };
     return this.kinds.list;
   }
 
@@ -77,7 +77,7 @@
     m?.unassign(job.id, p.index);
     job.release(p.index);
     job.waitingSince = now;
-    this.dirty = true;
+    this.needsScheduling = true;
     this.wake();
   }
 
@@ -99,14 +99,14 @@
       return;
     }
     p.stop = { graceS, since: now, why };
-    this.news = true;
+    this.changedSinceTick = true;
     const m = this.machines.get(p.machine);
     m?.changed();
     if (!p.sentWith && !p.orderOpen && !p.orderLost && !p.seen) {
       this.release(job, p, now); // never told to anyone
       return;
     }
-    if (m) this.pokes.add(m);
+    if (m) this.machinesToCommand.add(m);
   }
 
   /** Stops a task for a reason of ours; a gang goes as a whole, all members told at once. */
@@ -119,7 +119,7 @@
   cancel(job: Job, now: Steady): void {
     this.log('debug', { job: job.id, tasks: job.placements.size }, 'job cancelled');
     for (const p of [...job.placements.values()]) this.stopPlacement(job, p, 0, 'cancelled', now);
-    this.dirty = true;
+    this.needsScheduling = true;
   }
 
   addMachine(info: MachineInfo, now: Steady): Machine {
--- /dev/null
+++ b/src/core/scheduler/delays.ts
@@ -0,0 +1,74 @@
+// When a task is better off not to start on the best machine with room: one that has its image is free soon, one that
+// boots fetches alone, or low work on a warm machine can leave.
+import { add, fits } from '../cluster.js';
+import type { Job } from '../job.js';
+import { savesWithin, type Preemption } from './preemption.js';
+import { fetchS, freeIn, type Slot } from './slot.js';
+import type { Snapshot, ZoneCounts } from './snapshot.js';
+import type { Nomination } from './victims.js';
+
+/** Shorter fetches are not waited for. */
+const WORTH_WAITING_S = 15;
+/** For shorter fetches nobody is stopped. */
+export const WORTH_PREEMPTING_S = 12;
+/** A machine with the image must be free within this share of the fetch. */
+const WAIT_SHARE = 0.7;
+
+export class Delays {
+  constructor(
+    private readonly snapshot: Snapshot,
+    private readonly preemption: Preemption,
+  ) {}
+
+  /**
+   * A machine that has the image and is expected to be free well before a fetch elsewhere would end is worth
+   * waiting for: the task starts earlier, and no machine stands idle while it fetches.
+   */
+  awaitsWarmMachine(job: Job, slot: Slot, zones: ZoneCounts): boolean {
+    this.snapshot.work += this.snapshot.slots.length;
+    const coldS = fetchS(job.spec, slot);
+    if (coldS < WORTH_WAITING_S || job.spec.kind === 'service') return false;
+    for (const other of this.snapshot.slots) {
+      if (!other.machine.hasImage(job.spec.image)) continue;
+      if (!this.snapshot.allows(job, other, zones, null)) continue;
+      const freeS = freeIn(job.spec, other, this.snapshot.time.now);
+      if (freeS > coldS * WAIT_SHARE) continue;
+      add(other.promised, job.spec);
+      job.reason = { why: 'waiting for a machine with its image', expectedS: Math.round(freeS) };
+      return true;
+    }
+    return false;
+  }
+
+  /** Rather than a second fetch beside a running one: a machine that is about to be up, and fetches this alone. */
+  awaitsBoot(job: Job, slot: Slot, zones: ZoneCounts): boolean {
+    const { spec } = job;
+    if (slot.machine.hasImage(spec.image) || slot.fetching.has(spec.image) || slot.fetching.size === 0)
+      return false;
+    let best: Slot | null = null;
+    let bestS = fetchS(spec, slot);
+    for (const booting of this.snapshot.booting) {
+      if (!fits(spec, booting.free) || !this.snapshot.allows(job, booting, zones, null)) continue;
+      const startS = booting.readyInS + fetchS(spec, booting);
+      if (startS >= bestS) continue;
+      best = booting;
+      bestS = startS;
+    }
+    if (!best) return false;
+    add(best.free, spec, -1);
+    best.fetching.set(spec.image, spec.imageGb);
+    job.reason = { why: 'machines booting' };
+    return true;
+  }
+
+  /**
+   * For live work, a long fetch on a free machine loses against a machine that has the image and holds work of lower
+   * priority which can save: that leaves within seconds, and goes on elsewhere from where it was.
+   */
+  warmVictims(job: Job, slot: Slot, zones: ZoneCounts): Nomination | null {
+    if (job.spec.kind !== 'service') return null;
+    const coldS = fetchS(job.spec, slot);
+    if (coldS < WORTH_PREEMPTING_S) return null;
+    return this.preemption.nominateWarm(job, zones, (victim) => savesWithin(victim, coldS / 2), null);
+  }
+}
--- a/src/core/scheduler/slot.ts
+++ b/src/core/scheduler/slot.ts
@@ -40,37 +40,44 @@
  */
 export class Ranking {
   private readonly scores: Float64Array;
+  /** The machine's version when it was scored. */
+  private readonly versions: Int32Array;
 
   constructor(
     private readonly slots: Slot[],
     private readonly score: (slot: Slot) => number,
   ) {
     this.scores = new Float64Array(slots.length).fill(NaN);
+    this.versions = new Int32Array(slots.length).fill(-1);
   }
 
   best(allowed: (slot: Slot) => boolean): Slot | null {
     let best = -1;
     let bestScore = Infinity;
     for (let i = 0; i < this.slots.length; i++) {
-      let score = this.scores[i]!;
-      if (score >= bestScore) continue;
-      const slot = this.slots[i]!;
+      const slot = this.slots[i];
+      const known = this.versions[i] === slot.version;
+      if (known && this.scores[i] >= bestScore) continue;
       if (!allowed(slot)) continue;
-      if (Number.isNaN(score)) this.scores[i] = score = this.score(slot);
+      const score = known ? this.scores[i] : this.rescore(i);
       if (score >= bestScore) continue;
       best = i;
       bestScore = score;
     }
-    return best < 0 ? null : this.slots[best]!;
+    return best < 0 ? null : this.slots[best];
   }
 
   get size(): number {
     return this.slots.length;
   }
 
-  /** Room was taken on this machine: it is scored again. */
-  changed(slot: Slot): void {
-    this.scores[this.slots.indexOf(slot)] = NaN;
+  /** Room was taken on this machine, or left again. */
+  private rescore(i: number): number {
+    const slot = this.slots[i];
+    const score = this.score(slot);
+    this.scores[i] = score;
+    this.versions[i] = slot.version;
+    return score;
   }
 }
 
--- a/src/core/scheduler/victims.ts
+++ b/src/core/scheduler/victims.ts
@@ -1,13 +1,16 @@
 // Which tasks would have to stop for a task to fit on a machine. Nothing is stopped here: victims are only named.
 import { add, fits } from '../cluster.js';
 import type { Job, Placement } from '../job.js';
-import { priorityRank } from '../types.js';
-import type { Steady } from '../units.js';
+import { priorityRank, type Amounts } from '../types.js';
+import type { Steady, Team, WallTime } from '../units.js';
+import type { GuaranteeAccounts } from './guarantees.js';
 import type { Slot } from './slot.js';
 
 export interface Victim {
   job: Job;
   placement: Placement;
+  /** Borrowed work, stopped for the guarantee of this team. */
+  guaranteeOf?: Team;
 }
 
 export interface Victims {
@@ -25,11 +28,54 @@
   slot: Slot;
 }
 
+/** The cycle's time, on both clocks: due times are counted from submissions. */
+export interface CycleTime {
+  now: Steady;
+  wall: WallTime;
+}
+
+/** About what a stop delays a task: saving, waiting for a place, and often a fetch. */
+const STOP_DELAYS_S = 20;
+/** Seconds of lost work that it is worth at the most to let a job be in time. */
+const WORTH_IN_TIME_S = 10;
+
+const ranS = ({ placement }: Victim, now: Steady): number =>
+  placement.runningSince === null ? 0 : (now - placement.runningSince) / 1000;
+
+/** Rises as the time left beyond the task's own run shrinks; nothing for a job that is late whatever happens. */
+const deadlineLossS = (victim: Victim, { now, wall }: CycleTime): number => {
+  const { record, spec } = victim.job;
+  if (spec.deadlineS === null) return 0;
+  const dueInS = spec.deadlineS - (wall - record.submittedAt) / 1000;
+  const slackS = dueInS - Math.max(spec.estimateS - ranS(victim, now), 0);
+  return slackS < 0 ? 0 : WORTH_IN_TIME_S * Math.min(1, STOP_DELAYS_S / Math.max(slackS, 1));
+};
+
 /** Seconds of work that stopping loses, with lower priorities well before higher ones. */
-const lossOf = (v: Victim, now: Steady): number => {
-  const ran = v.placement.runningSince === null ? 0 : (now - v.placement.runningSince) / 1000;
-  const lost = v.job.spec.checkpointS > 0 ? Math.min(ran, v.job.spec.saveS) : ran;
-  return lost + 1000 * priorityRank[v.job.spec.priority];
+const lossOf = (victim: Victim, time: CycleTime): number => {
+  const { checkpointS, saveS, priority } = victim.job.spec;
+  const ran = ranS(victim, time.now);
+  const lost = checkpointS > 0 ? Math.min(ran, saveS) : ran;
+  return lost + deadlineLossS(victim, time) + 1000 * priorityRank[priority];
+};
+
+interface Candidate extends Victim {
+  loss: number;
+}
+
+/** Takes candidates in the order of what they lose until the task fits; null where all of them are too few. */
+const leastLoss = (job: Job, room: Amounts, candidates: Candidate[], take: (c: Candidate) => boolean) => {
+  candidates.sort((a, b) => a.loss - b.loss);
+  const list: Victim[] = [];
+  let cost = 0;
+  for (const candidate of candidates) {
+    if (!take(candidate)) continue;
+    list.push(candidate);
+    cost += candidate.loss + 1;
+    add(room, candidate.job.spec);
+    if (fits(job.spec, room)) return { list, cost };
+  }
+  return null;
 };
 
 /** The least lower-priority work whose stopping makes room here; null where none does. */
@@ -37,7 +83,7 @@
   job: Job,
   slot: Slot,
   whom: (victim: Victim) => boolean,
-  now: Steady,
+  time: CycleTime,
 ): Victims | null => {
   const room = { ...slot.free };
   add(room, slot.releasing);
@@ -49,20 +95,45 @@
   add(room, most);
   if (!fits(job.spec, room)) return null;
   add(room, most, -1);
-  const candidates: (Victim & { loss: number })[] = [];
+  const candidates: Candidate[] = [];
   for (const c of slot.machine.placements.values()) {
     if (priorityRank[c.job.spec.priority] >= rank) continue;
-    if (c.placement.shielded || c.placement.stop || !whom(c)) continue;
-    candidates.push({ ...c, loss: lossOf(c, now) });
+    if (c.placement.unpreemptible || c.placement.stop || !whom(c)) continue;
+    candidates.push({ ...c, loss: lossOf(c, time) });
   }
-  candidates.sort((a, b) => a.loss - b.loss);
-  const list: Victim[] = [];
-  let cost = 0;
-  for (const c of candidates) {
-    list.push(c);
-    cost += c.loss + 1;
-    add(room, c.job.spec);
-    if (fits(job.spec, room)) return { list, cost };
+  return leastLoss(job, room, candidates, () => true);
+};
+
+/**
+ * The least borrowed work of other teams, of any priority, whose stopping makes room here for a job within its team's
+ * guarantee. A gang counts with all of its members, and no team falls below what it is guaranteed itself.
+ */
+export const borrowedVictimsOn = (
+  job: Job,
+  slot: Slot,
+  whom: (victim: Victim) => boolean,
+  accounts: GuaranteeAccounts,
+  time: CycleTime,
+): Victims | null => {
+  const room = { ...slot.free };
+  add(room, slot.releasing);
+  if (fits(job.spec, room)) return { list: [], cost: 0 };
+  const candidates: Candidate[] = [];
+  for (const { job: other, placement } of slot.machine.placements.values()) {
+    const victim = { job: other, placement, guaranteeOf: job.spec.team };
+    if (other.spec.team === job.spec.team || placement.unpreemptible || placement.stop || !whom(victim))
+      continue;
+    candidates.push({ ...victim, loss: lossOf(victim, time) * Math.max(1, accounts.tasksLost(other)) });
   }
-  return null;
+  const counted: Victim[] = [];
+  const take = (candidate: Candidate): boolean => {
+    if (!accounts.isBorrowed(candidate)) return false;
+    accounts.stop([candidate]);
+    counted.push(candidate);
+    return true;
+  };
+  const found = leastLoss(job, room, candidates, take);
+  // Only nominated where the placement is complete.
+  accounts.spare(counted);
+  return found;
 };
--- a/src/core/suitability.ts
+++ b/src/core/type-penalties.ts
@@ -6,7 +6,7 @@
 
 const MAX_CLASSES = 50;
 
-export class Suitability {
+export class TypePenalties {
   private types: MachineType[] = [];
   private readonly classes = new Map<string, JobSpec>();
   private cache = new Map<string, number>();
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -50,7 +50,7 @@
   cancelledAt: WallTime | null;
 }
 
-export type FinalState = 'done' | 'withdrawn';
+export type FinalState = 'done' | 'cancelled';
 export interface FinalRecord {
   state: FinalState;
   tasks: number;
@@ -101,7 +101,7 @@
 }
 
 /** A controller's word that a report said the same as an earlier one, which the leader has read. */
-export interface Vouch {
+export interface UnchangedReport {
   machine: MachineId;
   session: Counter;
   seq: Counter;
--- a/src/runtime/cancellation-feed.ts
+++ b/src/runtime/cancellation-feed.ts
@@ -10,7 +10,7 @@
   renewalWindowMs,
   type Incarnation,
   type LogPosition,
-  type Statement,
+  type LogPage,
 } from '../core/cancellations.js';
 import type { Counter, JobId, NodeName, Steady } from '../core/units.js';
 import { parseCancelledJobs } from '../wire/peers.js';
@@ -65,7 +65,7 @@
   }
 
   /** Whether a report may be answered 200: no cancelled task that is unknown here would be kept beyond its time. */
-  mayRenew(now: Steady): boolean {
+  mayRenewLeases(now: Steady): boolean {
     return now <= this.log.provenUntil(now) + this.windowMs;
   }
 
@@ -93,11 +93,11 @@
     return this.log.positionOf(peer);
   }
 
-  statement(have: LogPosition | null): Statement {
-    return this.log.statement(have, steady());
+  pageAfter(have: LogPosition | null): LogPage {
+    return this.log.pageAfter(have, steady());
   }
 
-  heard(peer: NodeName, s: Statement, askedAt: Steady): void {
+  heard(peer: NodeName, s: LogPage, askedAt: Steady): void {
     const news = this.log.heard(peer, s, askedAt, steady());
     if (news.length > 0) this.onNews(news);
   }
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -5,11 +5,11 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { Admission } from './admission.js';
 import { CancellationFeed } from './cancellation-feed.js';
-import { Checkin } from './checkin.js';
+import { ReportHandler } from './report-handler.js';
 import { CloudClient } from './cloud-client.js';
 import { httpConnections, type HttpReply } from './http-server.js';
 import type { HttpMessage } from './http-parser.js';
-import { HintStore, isHints } from './image-hints.js';
+import { ImageLocationStore, isImageLocations } from './image-locations.js';
 import { LeaderLoop } from './leader-loop.js';
 import { FORWARD_TIMEOUT_MS, isLeaderRequest } from './leader-route.js';
 import { Logger } from './logger.js';
@@ -20,7 +20,7 @@
 import { StateClient, reserves } from './state-client.js';
 import { UserApi } from './user-api.js';
 import type { Operator } from '../config/operator.js';
-import type { Address, Platform } from '../config/platform.js';
+import { platformWarnings, type Address, type Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
 import type { MachineType } from '../core/types.js';
 import type { JobId, NodeName, Steady } from '../core/units.js';
@@ -34,7 +34,7 @@
 const TYPES_REFRESH_MS = 30_000;
 const USER_FORWARD_TIMEOUT_MS = 2000;
 const USERS_LOG_MS = 10_000;
-const HINTS_MS = 1000;
+const IMAGE_LOCATIONS_MS = 1000;
 const FENCE_CHECK_MS = 1000;
 /** The leader's part of the state service's budget. */
 const leaderShare = 0.6;
@@ -60,7 +60,7 @@
   private readonly links: PeerLink[] = [];
   private readonly cancelled: CancellationFeed;
   private readonly users: UserApi;
-  private readonly checkin: Checkin;
+  private readonly reportHandler: ReportHandler;
   private readonly fences: OverdueFences;
   private readonly random: () => number;
   private readonly sockets;
@@ -68,7 +68,7 @@
   private readonly userOutcomes = new Map<string, number>();
   private usersLoggedAt = -Infinity;
   private types: MachineType[] = [];
-  private readonly hints = new HintStore();
+  private readonly imageLocations = new ImageLocationStore();
   private readonly admission = new Admission(MAX_USER_REQUESTS, RESERVED_USER_REQUESTS);
   private readonly times = { user: createHistogram(), report: createHistogram() };
 
@@ -87,7 +87,7 @@
       onLost: (why) => this.follow(why),
       // The key's lease is alive, so there was a leader at most a lease ago. This is what a controller has that was
       // just restarted: without it, its workers would lose their leases for want of an answer.
-      onLeaderKey: () => this.checkin.sawLeader(operator.leaseMs),
+      onLeaderKey: () => this.reportHandler.noteLeaderSeen(operator.leaseMs),
     });
     this.cancelled = new CancellationFeed(platform, this.state, this.links, this.log, (jobs) =>
       this.loop?.learnCancelled(jobs),
@@ -103,7 +103,7 @@
       (id) => this.counts(id),
       (id) => this.cancelled.confirming(id),
     );
-    this.checkin = new Checkin(
+    this.reportHandler = new ReportHandler(
       platform,
       this.membership,
       this.links,
@@ -114,7 +114,7 @@
     );
     this.fences = new OverdueFences(
       platform,
-      this.checkin,
+      this.reportHandler,
       this.cancelled,
       this.links,
       this.cloud,
@@ -152,8 +152,9 @@
     this.cancelled.start();
     setInterval(() => void this.fences.check(), FENCE_CHECK_MS);
     void this.keepTypes();
-    setInterval(() => this.shareHints(), HINTS_MS);
+    setInterval(() => this.shareImageLocations(), IMAGE_LOCATIONS_MS);
     setInterval(() => this.checkHearing(), 500);
+    for (const warning of platformWarnings(this.platform)) this.log.info({ warning }, 'settings');
     this.log.info({ zone: this.platform.zone }, 'started');
   }
 
@@ -179,7 +180,7 @@
       this.times[which].record(Math.max(1, Math.round((performance.now() - began) * 1000)));
     try {
       if (q.target === '/checkin') {
-        reply(q.method === 'POST' ? await this.checkin.handle(q.body) : { status: 405 });
+        reply(q.method === 'POST' ? await this.reportHandler.handle(q.body) : { status: 405 });
         record('report');
         return;
       }
@@ -263,17 +264,17 @@
       leading: authority && this.loop !== null,
       holding: this.membership.holdsLease && (this.loop?.core ?? null) !== null,
       term: highestTerm(this.membership.election),
-      reaches: this.checkin.reachedLeader,
+      reaches: this.reportHandler.reachedLeader,
       stateOk: this.stateOk(),
-      hearing: this.checkin.hearing,
-      leaderSeenAgoMs: this.checkin.leaderSeenAgoMs,
+      hearing: this.reportHandler.hearing,
+      leaderSeenAgoMs: this.reportHandler.leaderSeenAgoMs,
     };
   }
 
   private heard(s: PeerStatus): void {
-    if (typeof s.leaderSeenAgoMs === 'number') this.checkin.sawLeader(s.leaderSeenAgoMs);
+    if (typeof s.leaderSeenAgoMs === 'number') this.reportHandler.noteLeaderSeen(s.leaderSeenAgoMs);
     if (s.leading || s.holding) this.membership.learn(s.node, s.term);
-    if (s.leading) this.checkin.sawLeader();
+    if (s.leading) this.reportHandler.noteLeaderSeen();
     if (s.reaches) this.membership.learn(s.reaches.node, s.reaches.term);
   }
 
@@ -281,18 +282,20 @@
     switch (q.kind) {
       case 'heartbeat':
         this.heard(q.from);
-        return { status: this.status(), cancelled: this.cancelled.statement(parsePosition(q.have)) };
+        return { status: this.status(), cancelled: this.cancelled.pageAfter(parsePosition(q.have)) };
       case 'cancelled':
         this.cancelled.pushed(q.jobs);
         return {};
       case 'relay': {
         if (!this.membership.holdsLease) return {};
-        const r = await this.checkin.relayed(Buffer.from(q.report));
+        const r = await this.reportHandler.relayed(Buffer.from(q.report));
         return { status: r.status, body: r.body ?? Buffer.alloc(0), quiet: r.quiet };
       }
       case 'vouch': {
         const own = this.membership.election.held?.term === q.term;
-        return { full: own && Array.isArray(q.machines) ? (this.loop?.vouched(q.machines) ?? null) : null };
+        return {
+          full: own && Array.isArray(q.machines) ? (this.loop?.unchangedReports(q.machines) ?? null) : null,
+        };
       }
       case 'forward':
         return this.forward(q.to, q.request);
@@ -310,9 +313,9 @@
         return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
       }
       case 'heard':
-        return { heard: Array.isArray(q.machines) ? this.checkin.heardOf(q.machines) : [] };
+        return { heard: Array.isArray(q.machines) ? this.reportHandler.heardOf(q.machines) : [] };
       case 'hints':
-        if (isHints(q.images)) this.hints.merge(q.images, performance.now());
+        if (isImageLocations(q.images)) this.imageLocations.merge(q.images, performance.now());
         return {};
       case 'counts':
         return { counts: this.ownCounts(q.job as JobId) };
@@ -329,11 +332,11 @@
   }
 
   /** A new leader finds out by reports what runs where, but not which images are cached: its peers tell it. */
-  private shareHints(): void {
-    const all = this.loop?.core?.imageHints();
+  private shareImageLocations(): void {
+    const all = this.loop?.core?.imageLocations();
     if (!all) return;
-    const images = this.hints.page(all);
-    this.hints.merge(images, performance.now());
+    const images = this.imageLocations.page(all);
+    this.imageLocations.merge(images, performance.now());
     for (const link of this.links) void link.ask({ kind: 'hints', images }, 1000);
   }
 
@@ -392,7 +395,7 @@
       log,
       random,
       () => this.types,
-      this.hints.all(),
+      this.imageLocations.all(),
       this.sockets.orders,
       this.cancelled,
     );
--- a/src/runtime/http-parser.ts
+++ b/src/runtime/http-parser.ts
@@ -83,7 +83,7 @@
       case 'chunk-size': {
         const line = this.line(MAX_CHUNK_LINE);
         if (line === null) return false;
-        const hex = line.split(';', 1)[0]!.trim();
+        const hex = line.split(';', 1)[0].trim();
         if (!/^[0-9a-fA-F]{1,8}$/.test(hex)) throw new HttpError(400, 'bad chunk size');
         const need = parseInt(hex, 16);
         if (this.size + need > this.limits.bodyBytes) throw new HttpError(413, 'body too large');
@@ -119,9 +119,9 @@
     const lines = this.buffer.toString('latin1', 0, end).split('\r\n');
     this.buffer = this.buffer.subarray(end + 4);
     if (lines.length - 1 > this.limits.headerCount) throw new HttpError(431, 'too many header fields');
-    const message = this.startLine(lines[0]!);
+    const message = this.startLine(lines[0]);
     for (let i = 1; i < lines.length; i++) {
-      const line = lines[i]!;
+      const line = lines[i];
       const colon = line.indexOf(':');
       if (colon <= 0 || !tokenPattern.test(line.slice(0, colon)))
         throw new HttpError(400, 'bad header field');
@@ -216,7 +216,7 @@
 
   private complete(out: HttpMessage[]): void {
     const message = this.message!;
-    message.body = this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts);
+    message.body = this.parts.length === 1 ? this.parts[0] : Buffer.concat(this.parts);
     out.push(message);
     this.message = null;
     this.parts = [];
--- a/src/runtime/image-hints.ts
+++ b/src/runtime/image-locations.ts
@@ -1,39 +1,39 @@
 // Which machine caches what, as the leader tells it page by page; kept for the next leader.
-import type { ImageHints } from '../core/leader.js';
+import type { ImageLocations } from '../core/leader.js';
 
 const PAGE = 100;
 const KEPT_MS = 60_000;
 
-export const isHints = (x: unknown): x is ImageHints =>
+export const isImageLocations = (x: unknown): x is ImageLocations =>
   typeof x === 'object' &&
   x !== null &&
   Object.values(x).every(
     (v) => Array.isArray(v) && v.every((i) => Array.isArray(i) && typeof i[0] === 'string'),
   );
 
-export class HintStore {
-  private readonly known = new Map<string, { images: ImageHints[string]; at: number }>();
+export class ImageLocationStore {
+  private readonly known = new Map<string, { images: ImageLocations[string]; at: number }>();
   private next = 0;
 
   /**
    * The next page of all. One message with all machines would outgrow a frame, and a peer that gets one too large ends
    * the connection.
    */
-  page(all: ImageHints): ImageHints {
+  page(all: ImageLocations): ImageLocations {
     const ids = Object.keys(all);
     if (this.next >= ids.length) this.next = 0;
-    const page = Object.fromEntries(ids.slice(this.next, this.next + PAGE).map((id) => [id, all[id]!]));
+    const page = Object.fromEntries(ids.slice(this.next, this.next + PAGE).map((id) => [id, all[id]]));
     this.next += PAGE;
     return page;
   }
 
   /** Adds to what is known; machines not told of for a minute are gone. */
-  merge(page: ImageHints, now: number): void {
+  merge(page: ImageLocations, now: number): void {
     for (const [id, images] of Object.entries(page)) this.known.set(id, { images, at: now });
     for (const [id, { at }] of this.known) if (now - at > KEPT_MS) this.known.delete(id);
   }
 
-  all(): ImageHints {
+  all(): ImageLocations {
     return Object.fromEntries([...this.known].map(([id, { images }]) => [id, images]));
   }
 }
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -8,8 +8,8 @@
 import { WorkerCalls } from './worker-calls.js';
 import type { Platform } from '../config/platform.js';
 import type { Operator } from '../config/operator.js';
-import { Leader, type Effect, type ImageHints } from '../core/leader.js';
-import type { MachineType, Report, Vouch } from '../core/types.js';
+import { Leader, type Effect, type ImageLocations } from '../core/leader.js';
+import type { MachineType, Report, UnchangedReport } from '../core/types.js';
 import type { Counter, JobId, MachineId, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import * as wire from '../wire/state.js';
@@ -54,7 +54,7 @@
     private readonly log: Logger,
     private readonly random: () => number,
     private readonly types: () => MachineType[],
-    private readonly hints: ImageHints,
+    private readonly imageLocations: ImageLocations,
     orderSockets: number,
     private readonly cancelled: Pick<CancellationFeed, 'has' | 'jobs'>,
   ) {
@@ -103,7 +103,7 @@
       if (!machines) this.log.error({ key: item.key }, 'damaged page of the roster');
       for (const m of machines ?? []) leader.loadMachine(m, page, startedAt);
     }
-    leader.loadImageHints(this.hints);
+    leader.loadImageLocations(this.imageLocations);
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
     for (const item of progress.items) {
       const [, id, chunk] = item.key.split('/');
@@ -138,17 +138,17 @@
     const now = steady();
     this.heardAt = now;
     const commands = leader.onReport(report, now);
-    if (leader.hasNews) this.soon();
+    if (leader.hasChanges) this.soon();
     return commands;
   }
 
   /** The machines of which the next report is needed in full. */
-  vouched(vouches: Vouch[]): MachineId[] | null {
+  unchangedReports(unchanged: UnchangedReport[]): MachineId[] | null {
     const leader = this.leader;
     if (!leader) return null;
     const now = steady();
     this.heardAt = now;
-    return vouches.filter((v) => !leader.onVouch(v, now)).map((v) => v.machine);
+    return unchanged.filter((v) => !leader.onUnchangedReport(v, now)).map((v) => v.machine);
   }
 
   /** How long no worker at all has been heard, though machines are known to be up. */
@@ -301,7 +301,7 @@
     const { keys } = wire;
     const r = await this.write(
       [
-        { put: keys.final(e.job), data: { state: e.state, tasks: e.tasks } },
+        { put: keys.final(e.job), data: wire.finalData(e) },
         { delete: keys.active(e.job) },
         ...e.chunks
           .slice(0, this.platform.stateLimits.txnOps - 2)
--- a/src/runtime/overdue-fences.ts
+++ b/src/runtime/overdue-fences.ts
@@ -1,7 +1,7 @@
 // Guards against a cancelled task on a machine that hangs while nobody leads: the leader ended, and in an outage of
 // the state service none can follow it. A hanging worker heeds no stop, and does not notice the end of its lease.
 import type { CancellationFeed } from './cancellation-feed.js';
-import type { Checkin } from './checkin.js';
+import type { ReportHandler } from './report-handler.js';
 import type { CloudClient } from './cloud-client.js';
 import type { Logger } from './logger.js';
 import type { PeerLink } from './peer-link.js';
@@ -22,7 +22,7 @@
 
   constructor(
     private readonly platform: Platform,
-    private readonly checkin: Checkin,
+    private readonly reportHandler: ReportHandler,
     private readonly cancelled: Pick<CancellationFeed, 'learned' | 'someLearned'>,
     private readonly links: PeerLink[],
     private readonly cloud: Pick<CloudClient, 'giveBack' | 'list'>,
@@ -36,7 +36,7 @@
   /** To be called regularly. */
   async check(): Promise<void> {
     const now = this.clock();
-    if (this.open || this.checkin.leaderInReach(now)) return;
+    if (this.open || this.reportHandler.leaderInReach(now)) return;
     const { cancelS } = this.platform.workers;
     const before = (now - cancelS * 1000 * OVERDUE_CANCELS) as Steady;
     if (!this.cancelled.someLearned((now - cancelS * 2000) as Steady, before)) return;
@@ -49,7 +49,7 @@
   }
 
   private knownToHold(before: Steady, now: Steady): MachineId[] {
-    return this.checkin
+    return this.reportHandler
       .silentFor(this.platform.workers.leaseS * 1000, now)
       .filter(([, tasks]) =>
         tasks.some((t) => t.state !== 'exited' && (this.cancelled.learned(t.job) ?? Infinity) < before),
@@ -66,7 +66,7 @@
     if (this.stateOk() || now - this.startedAt < settlingMs) return [];
     const listed = await this.cloud.list();
     const up = (listed ?? []).filter((m) => m.status === 'running').map((m) => m.id);
-    const heard = new Set(this.checkin.heardOf(up));
+    const heard = new Set(this.reportHandler.heardOf(up));
     return up.filter((id) => !heard.has(id));
   }
 
@@ -80,13 +80,13 @@
     const heard = new Set(
       answers.flatMap((a) => (Array.isArray(a?.['heard']) ? (a['heard'] as unknown[]) : [])),
     );
-    for (const id of machines) if (heard.has(id)) this.checkin.forgetReport(id);
+    for (const id of machines) if (heard.has(id)) this.reportHandler.forgetReport(id);
     // Whom a controller out of reach may hear is spared, unless we know that it holds such a task.
     const all = answers.every((a) => Array.isArray(a?.['heard']));
     const silent = machines.filter((id) => !heard.has(id) && (all || known.includes(id)));
     if (silent.length === 0) return;
     const ok = await this.cloud.giveBack(silent);
     this.log.info({ machines: silent, ok }, 'silent with a cancelled task, and no leader: fenced');
-    if (ok) for (const id of silent) this.checkin.forgetReport(id);
+    if (ok) for (const id of silent) this.reportHandler.forgetReport(id);
   }
 }
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -2,12 +2,12 @@
 // answers what the peers ask on their own connections.
 import { connect, type Socket } from 'node:net';
 import type { Platform } from '../config/platform.js';
-import type { LogPosition, Statement } from '../core/cancellations.js';
-import type { ImageHints } from '../core/leader.js';
-import type { Vouch } from '../core/types.js';
+import type { LogPosition, LogPage } from '../core/cancellations.js';
+import type { ImageLocations } from '../core/leader.js';
+import type { UnchangedReport } from '../core/types.js';
 import type { NodeName, Steady, Term, Zone } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
-import { parseStatement } from '../wire/peers.js';
+import { parseLogPage } from '../wire/peers.js';
 import type { LeaderRequest } from './leader-route.js';
 
 const MAX_FRAME = 256 * 1024;
@@ -43,11 +43,11 @@
   /** Which of these machines reported to the answerer itself lately? */
   | { kind: 'heard'; machines: string[] }
   | { kind: 'relay'; report: Uint8Array }
-  | { kind: 'vouch'; term: Term; machines: Vouch[] }
+  | { kind: 'vouch'; term: Term; machines: UnchangedReport[] }
   /** To be passed on to a leader that the asker cannot reach; the answer is the leader's. */
   | { kind: 'forward'; to: NodeName; request: LeaderRequest }
   | { kind: 'user'; method: string; target: string; body: Uint8Array }
-  | { kind: 'hints'; images: ImageHints }
+  | { kind: 'hints'; images: ImageLocations }
   | { kind: 'counts'; job: string };
 export type PeerResponse = Record<string, unknown>;
 
@@ -96,7 +96,7 @@
     setTimeout(() => {
       const all = this.frames;
       this.frames = [];
-      if (!this.socket.destroyed) this.socket.write(all.length === 1 ? all[0]! : Buffer.concat(all));
+      if (!this.socket.destroyed) this.socket.write(all.length === 1 ? all[0] : Buffer.concat(all));
     }, GATHER_MS);
   }
 }
@@ -128,7 +128,7 @@
 /** What each heartbeat asks a peer about cancellations, and where its answer goes. */
 export interface CancellationExchange {
   have: (peer: NodeName) => LogPosition | null;
-  heard: (peer: NodeName, s: Statement, askedAt: Steady) => void;
+  heard: (peer: NodeName, s: LogPage, askedAt: Steady) => void;
   malformed: (peer: NodeName, cause: string) => void;
 }
 
@@ -212,7 +212,7 @@
     this.heardAt = performance.now();
     this.status = status;
     this.onStatus(status);
-    const s = parseStatement(a['cancelled']);
+    const s = parseLogPage(a['cancelled']);
     if (s.ok) this.cancelled.heard(this.name, s.value, askedAt);
     else this.cancelled.malformed(this.name, s.cause);
   }
--- a/src/runtime/checkin.ts
+++ b/src/runtime/report-handler.ts
@@ -11,15 +11,15 @@
 import type { Command, Report } from '../core/types.js';
 import { sameCounter, type MachineId, type Steady } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
-import { Vouching } from './vouching.js';
+import { UnchangedReports } from './unchanged-reports.js';
 import { parseReport, redirectBody, reportAnswer } from '../wire/workers.js';
 import type { Logger } from './logger.js';
 
 const RELAY_TIMEOUT_MS = 2500;
 /** A worker is sent elsewhere at most once in this time: each move may cost it 5 s of its lease. */
-const BOUNCE_EVERY_MS = 60_000;
+const REDIRECT_EVERY_MS = 60_000;
 /** A worker sent away since we can't do more than keep it is kept if it comes back within this time. */
-const SEND_EVERY_MS = 20_000;
+const DISMISS_EVERY_MS = 20_000;
 const REPORTS_LOG_MS = 10_000;
 /** Guards against names without end from outside. */
 const MOST_REPORTS = 5000;
@@ -29,7 +29,7 @@
 
 const steady = (): Steady => performance.now() as Steady;
 const answer = (status: number, body: unknown): HttpReply => ({ status, body: encode(body) });
-const elsewhere = (leader: Parameters<typeof redirectBody>[0]): HttpReply =>
+const redirectTo = (leader: Parameters<typeof redirectBody>[0]): HttpReply =>
   answer(421, redirectBody(leader));
 
 type Outcome = 'answered' | 'relayed' | 'vouched for' | 'kept alive' | 'sent elsewhere' | 'refused';
@@ -58,15 +58,15 @@
   }
 }
 
-export class Checkin {
+export class ReportHandler {
   /** The last report of each machine that reports here. */
   private readonly lastReports = new Map<
     MachineId,
     Pick<Report, 'session' | 'seq' | 'tasks'> & { at: Steady }
   >();
-  private readonly bounces = new Map<MachineId, Steady>();
-  private readonly sentAway = new Map<MachineId, Steady>();
-  private readonly vouching = new Vouching();
+  private readonly redirectedAt = new Map<MachineId, Steady>();
+  private readonly dismissedAt = new Map<MachineId, Steady>();
+  private readonly unchangedReports = new UnchangedReports();
   private readonly routes: LeaderRoutes;
   private readonly direct = new Rate();
   private readonly outcomes = new Map<Outcome, number>();
@@ -81,7 +81,7 @@
     private readonly leading: () => LeaderLoop | null,
     private readonly log: Logger,
     private readonly stateOk: () => boolean,
-    private readonly cancelled: Pick<CancellationFeed, 'has' | 'mayRenew'>,
+    private readonly cancelled: Pick<CancellationFeed, 'has' | 'mayRenewLeases'>,
     private readonly clock: () => Steady = steady,
   ) {
     this.routes = new LeaderRoutes(links, platform.name);
@@ -91,7 +91,7 @@
    * A leader was heard of, by us now or by a peer some time ago: keeping workers alive is bounded from here. A
    * peer's word is what a controller has that was just restarted.
    */
-  sawLeader(agoMs = 0): void {
+  noteLeaderSeen(agoMs = 0): void {
     this.leaderSeenAt = Math.max(this.leaderSeenAt, this.clock() - agoMs);
   }
 
@@ -141,8 +141,8 @@
       return this.toLeader(report, body, route, now);
     }
     const refused = this.refusingLeader(now);
-    if (refused && this.maySend(report, now)) return ['sent elsewhere', elsewhere(refused.name)];
-    return this.keepAlive(report, now);
+    if (refused && this.mayDismiss(report, now)) return ['sent elsewhere', redirectTo(refused.name)];
+    return this.renewWithoutLeader(report, now);
   }
 
   /**
@@ -155,11 +155,11 @@
     return this.links.find((l) => l.name === leader.node && l.refuses(now)) ?? null;
   }
 
-  private maySend(report: Report, now: Steady): boolean {
-    const last = this.sentAway.get(report.id);
-    if (this.sentAway.size > 5000) this.sentAway.clear();
-    if (last !== undefined && now - last < SEND_EVERY_MS) return false;
-    this.sentAway.set(report.id, now);
+  private mayDismiss(report: Report, now: Steady): boolean {
+    const last = this.dismissedAt.get(report.id);
+    if (this.dismissedAt.size > 5000) this.dismissedAt.clear();
+    if (last !== undefined && now - last < DISMISS_EVERY_MS) return false;
+    this.dismissedAt.set(report.id, now);
     return true;
   }
 
@@ -167,16 +167,16 @@
     const loop = this.leading();
     const term = this.membership.election.held!.term;
     // An answer under a lower token would be dropped and would hold the worker here.
-    if (report.token > term) return ['sent elsewhere', elsewhere(null)];
+    if (report.token > term) return ['sent elsewhere', redirectTo(null)];
     if (this.membership.authority) {
       this.leaderSeenAt = now;
-      if (!this.cancelled.mayRenew(now)) return ['refused', answer(503, {})];
+      if (!this.cancelled.mayRenewLeases(now)) return ['refused', answer(503, {})];
       const closer = relayed ? null : (this.closerTo(report, now) ?? this.lessBusy(report, now));
-      if (closer) return ['sent elsewhere', elsewhere(closer.name)];
+      if (closer) return ['sent elsewhere', redirectTo(closer.name)];
       return ['answered', answer(200, reportAnswer(term, loop?.report(report) ?? []))];
     }
     loop?.core?.onReportWithoutAuthority(report, now);
-    return this.keepAlive(report, now);
+    return this.renewWithoutLeader(report, now);
   }
 
   /**
@@ -185,24 +185,24 @@
    */
   private closerTo(report: Report, now: Steady): PeerLink | null {
     if (report.zone === this.platform.zone) return null;
-    return this.bounce(report, now);
+    return this.redirectToZone(report, now);
   }
 
   /** A leader with more reports of its own than it has processor for leaves them to others of the worker's zone. */
   private lessBusy(report: Report, now: Steady): PeerLink | null {
     const most = Math.max(LEAST_DIRECT, this.platform.limits.cpu * DIRECT_OF_A_CORE);
-    return this.direct.perSecond(now) > most ? this.bounce(report, now) : null;
+    return this.direct.perSecond(now) > most ? this.redirectToZone(report, now) : null;
   }
 
-  private bounce(report: Report, now: Steady): PeerLink | null {
-    const last = this.bounces.get(report.id);
-    if (last !== undefined && now - last < BOUNCE_EVERY_MS) return null;
+  private redirectToZone(report: Report, now: Steady): PeerLink | null {
+    const last = this.redirectedAt.get(report.id);
+    if (last !== undefined && now - last < REDIRECT_EVERY_MS) return null;
     const near = this.links.filter((l) => l.zone === report.zone && l.alive(now) && l.status?.hearing);
     if (near.length === 0) return null;
-    if (this.bounces.size > 5000) this.bounces.clear();
-    this.bounces.set(report.id, now);
+    if (this.redirectedAt.size > 5000) this.redirectedAt.clear();
+    this.redirectedAt.set(report.id, now);
     // Spread over the controllers there.
-    return near[this.bounces.size % near.length]!;
+    return near[this.redirectedAt.size % near.length];
   }
 
   /**
@@ -216,9 +216,9 @@
     now: Steady,
   ): Promise<[Outcome, HttpReply]> {
     const closer = this.closerTo(report, now);
-    if (closer) return ['sent elsewhere', elsewhere(closer.name)];
+    if (closer) return ['sent elsewhere', redirectTo(closer.name)];
     const { term, leading } = route.leader;
-    if (this.mayVouch(report, now) && this.vouching.covers(report, route))
+    if (this.mayAnswerUnchanged(report, now) && this.unchangedReports.covers(report, route))
       return ['vouched for', answer(200, reportAnswer(term, []))];
     const relayed = await route.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
     const status = relayed?.['status'];
@@ -226,10 +226,10 @@
     // One without authority may not be able to answer for the worker; then we may.
     const useful = status === 200 || leading;
     if (typeof status === 'number' && bytes instanceof Uint8Array && useful) {
-      this.vouching.learn(report, term, status === 200 && relayed?.['quiet'] === true);
+      this.unchangedReports.learn(report, term, status === 200 && relayed?.['quiet'] === true);
       return ['relayed', { status, body: Buffer.from(bytes) }];
     }
-    return this.keepAlive(report, this.clock());
+    return this.renewWithoutLeader(report, this.clock());
   }
 
   private noteReport({ id, session, seq, tasks }: Report, now: Steady): void {
@@ -240,26 +240,27 @@
     this.lastReports.set(id, { session, seq, tasks, at: now });
   }
 
-  private mayVouch(report: Report, now: Steady): boolean {
-    return this.cancelled.mayRenew(now) && !report.tasks.some((t) => this.cancelled.has(t.job));
+  private mayAnswerUnchanged(report: Report, now: Steady): boolean {
+    return this.cancelled.mayRenewLeases(now) && !report.tasks.some((t) => this.cancelled.has(t.job));
   }
 
   /**
    * No leader in reach: work goes on under the last token. Only while every cancellation that could matter is known
    * here, and then the tasks of cancelled jobs are stopped: that is final, so it needs no authority.
    */
-  private keepAlive(report: Report, now: Steady): [Outcome, HttpReply] {
-    if (!this.cancelled.mayRenew(now)) return ['refused', answer(503, {})];
+  private renewWithoutLeader(report: Report, now: Steady): [Outcome, HttpReply] {
+    if (!this.cancelled.mayRenewLeases(now)) return ['refused', answer(503, {})];
     // Served by the state service, and yet no leader for long: the worker may well reach it where we can't.
     if (this.stateOk() && now - this.leaderSeenAt > this.leaderlessMs) return ['refused', answer(503, {})];
     // Cut off from everybody but the workers: another controller may lead, and they can reach it. If none answers
     // them they come back, and are kept.
-    if (this.isolated(now) && this.maySend(report, now)) return ['sent elsewhere', elsewhere(null)];
+    if (this.isolated(now) && this.mayDismiss(report, now)) return ['sent elsewhere', redirectTo(null)];
     const term = highestTerm(this.membership.election);
     // A token above ours: another controller has a newer leader. A worker that comes back has found none, and is
     // answered under the token that it has, since a lower one would hold it here in vain.
     const newer = report.token > term;
-    if (newer && (this.stateOk() || this.maySend(report, now))) return ['sent elsewhere', elsewhere(null)];
+    if (newer && (this.stateOk() || this.mayDismiss(report, now)))
+      return ['sent elsewhere', redirectTo(null)];
     const token = newer ? report.token : term;
     return ['kept alive', answer(200, reportAnswer(token, this.stopsFor(report)))];
   }
--- a/src/runtime/vouching.ts
+++ b/src/runtime/unchanged-reports.ts
@@ -1,7 +1,7 @@
 // Unchanged reports, vouched for in batches: most reports of a large cluster say what the one before said, and the
 // leader need not read each. It decides which machines may be vouched for, and asks for the rest in full.
 import { sameTasks } from '../core/cluster.js';
-import type { Report, Vouch } from '../core/types.js';
+import type { Report, UnchangedReport } from '../core/types.js';
 import { sameCounter, type Counter, type MachineId, type Term } from '../core/units.js';
 import { sameRoute, type LeaderRoute } from './leader-route.js';
 import type { PeerResponse } from './peer-link.js';
@@ -19,9 +19,9 @@
   seq: Counter;
 }
 
-export class Vouching {
+export class UnchangedReports {
   private readonly known = new Map<MachineId, Known>();
-  private batch = new Map<MachineId, Vouch>();
+  private batch = new Map<MachineId, UnchangedReport>();
   private batchRoute: LeaderRoute | null = null;
 
   /** The leader has read this report, and says whether its machine needs nothing and awaits nothing. */
@@ -39,7 +39,7 @@
     const { term } = route.leader;
     const k = this.known.get(report.id);
     if (!k || k.term !== term || !sameCounter(report.token, term) || report.noticeS !== null) return false;
-    // An older report or a copy vouches for nothing.
+    // An older report or a copy unchanged for nothing.
     if (!sameCounter(report.session, k.base.session) || !(report.seq > k.seq)) return false;
     if (!sameTasks(report.tasks, k.base.tasks) || report.endpoint !== k.base.endpoint) return false;
     k.seq = report.seq;
@@ -47,7 +47,7 @@
     return true;
   }
 
-  private add(v: Vouch, route: LeaderRoute): void {
+  private add(v: UnchangedReport, route: LeaderRoute): void {
     if (this.batchRoute && !sameRoute(this.batchRoute, route)) this.batch.clear();
     this.batchRoute = route;
     this.batch.set(v.machine, v);
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -49,13 +49,13 @@
   }
 
   async handle(request: HttpMessage): Promise<HttpReply> {
-    const path = request.target.split('?', 1)[0]!;
+    const path = request.target.split('?', 1)[0];
     if (path === '/v1/jobs') {
       return request.method === 'POST' ? this.submit(request.body) : bad(405, 'use POST');
     }
     const match = /^\/v1\/jobs\/([^/]+)(\/abort)?$/.exec(path);
     if (!match) return bad(404, 'no such path');
-    const id = match[1]!;
+    const id = match[1];
     const abort = match[2] !== undefined;
     if (request.method !== (abort ? 'POST' : 'GET')) return bad(405, abort ? 'use POST' : 'use GET');
     if (!isJobId(id)) return bad(404, 'no such job');
@@ -101,7 +101,8 @@
     return known.kind === 'none' ? refusal : this.describe(id, known);
   }
 
-  private canNeverRun(spec: JobSpec): string | 'undecided' | null {
+  /** Why it can never run; 'undecided' while the machine types are unknown, null if it can. */
+  private canNeverRun(spec: JobSpec): string | null {
     const team = this.teams.get(spec.team);
     if (!team) return 'unknown team';
     const tasks = spec.kind === 'array' ? 1 : spec.tasks;
@@ -127,7 +128,7 @@
     }
     if (found.kind === 'damaged') return good(statusBody(id, 'pending', { done: 0, running: 0 }));
     if (found.kind !== 'active') return busy('not certain');
-    if (found.record.cancelledAt !== null) return this.withdrawn(id);
+    if (found.record.cancelledAt !== null) return this.describeCancelled(id);
     const counts = (await this.counts(id)) ?? { done: 0, running: 0 };
     const status: UserStatus = counts.running > 0 ? 'running' : 'pending';
     return good(statusBody(id, status, counts));
@@ -139,7 +140,7 @@
       if (found.kind === 'none') return bad(404, 'no such job');
       if (found.kind === 'undecided' || found.kind === 'damaged') return busy('not certain');
       if (found.kind === 'final') return good(statusBody(id, found.record.state));
-      if (found.record.cancelledAt !== null) return this.withdrawn(id);
+      if (found.record.cancelledAt !== null) return this.describeCancelled(id);
       // Done against cancelled is decided here: both compare the job's record.
       const record: JobRecord = { ...found.record, cancelledAt: Date.now() as WallTime };
       const r = await this.state.transact(
@@ -149,15 +150,15 @@
         },
         reserves.urgent,
       );
-      if (r.kind === 'ok') return this.withdrawn(id);
+      if (r.kind === 'ok') return this.describeCancelled(id);
       if (r.kind === 'refused') return busy('state service refuses');
     }
     return busy('not certain to be recorded');
   }
 
-  private withdrawn(id: JobId): HttpReply {
+  private describeCancelled(id: JobId): HttpReply {
     this.confirming(id);
-    return good(statusBody(id, 'withdrawn', { done: 0, running: 0 }));
+    return good(statusBody(id, 'cancelled', { done: 0, running: 0 }));
   }
 
   /** Active first, then final: a job that finishes between the two reads is found by the second. */
--- /dev/null
+++ b/src/test/sim/cycle.ts
@@ -0,0 +1,84 @@
+// Single scheduling cycles on machines and jobs made for a test.
+import { jobSpec, teams as dayTeams, types } from './day.js';
+import { Machine, add } from '../../core/cluster.js';
+import { Job, newPlacement, type Placement } from '../../core/job.js';
+import { runCycle, type CycleResult } from '../../core/scheduler.js';
+import { markGuaranteed } from '../../core/scheduler/guarantees.js';
+import type { Amounts, JobSpec, TeamLimits } from '../../core/types.js';
+import type {
+  Attempt,
+  Endpoint,
+  JobId,
+  MachineId,
+  Steady,
+  Team,
+  TypeName,
+  WallTime,
+  Zone,
+} from '../../core/units.js';
+
+export const now = 100_000 as Steady;
+
+export const machine = (id: string, type: string, zone: string, spot = false): Machine => {
+  const info = {
+    id: id as MachineId,
+    endpoint: '1.1.1.1:1' as Endpoint,
+    type: type as TypeName,
+    zone: zone as Zone,
+    spot,
+  };
+  const m = new Machine(
+    info,
+    types.find((t) => t.name === type),
+    now,
+  );
+  m.up = m.settled = true;
+  return m;
+};
+
+export const job = (id: string, over: Partial<JobSpec> = {}): Job => {
+  const spec = jobSpec(id, over);
+  return new Job(spec.id, { spec, submittedAt: 0 as WallTime, cancelledAt: null }, 1, false, now);
+};
+
+export const put = (m: Machine, j: Job, index: number): Placement => {
+  const p = newPlacement(index, m.id, (index + 1) as Attempt, now);
+  p.seen = p.running = true;
+  p.runningSince = now;
+  j.place(p);
+  m.assign(j, p);
+  return p;
+};
+
+export const cycle = (machines: Machine[], jobs: Job[], teams: TeamLimits[] = dayTeams): CycleResult => {
+  const teamLimits = new Map(teams.map((t) => [t.name, t]));
+  const byId = new Map(jobs.map((j) => [j.id, j]));
+  for (const m of machines) for (const { job: j } of m.placements.values()) byId.set(j.id, j);
+  markGuaranteed(byId.values(), teamLimits);
+  const usage = new Map<Team, Amounts>();
+  for (const j of byId.values()) {
+    const used = usage.get(j.spec.team) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    add(used, j.spec, j.placements.size);
+    usage.set(j.spec.team, used);
+  }
+  return runCycle({
+    machines: new Map(machines.map((m) => [m.id, m])),
+    queue: jobs.filter((j) => j.pendingCount > 0),
+    jobs: byId.values(),
+    specOf: (id: JobId) => byId.get(id)?.spec ?? null,
+    usage,
+    teams: teamLimits,
+    now,
+    wall: 0 as WallTime,
+    silentMs: 5000,
+    maxTasks: 40,
+    maxWork: 200_000,
+    typePenalty: () => 0,
+  });
+};
+
+export const show = (r: CycleResult): string[] => [
+  ...r.placed.map((p) => `${p.job.id}/${p.index} -> ${p.machine.id}`),
+  ...r.victims.map((v) => `stop ${v.job.id}/${v.placement.index}`),
+  ...r.unplaced.map((u) => `${u.job.id} waits for ${u.tasks}`),
+];
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -1,13 +1,13 @@
 // What controllers tell one another of cancellations. A frame of another shape is dropped: it proves nothing.
 import * as v from 'valibot';
 import { amount, parseWith, safeCount, text } from './common.js';
-import type { LogPosition, Statement } from '../core/cancellations.js';
+import type { LogPosition, LogPage } from '../core/cancellations.js';
 import type { JobId } from '../core/units.js';
 import { isJobId } from './users.js';
 
 const jobs = v.array(v.custom<JobId>((j) => typeof j === 'string' && isJobId(j)));
 const position = v.object({ incarnation: text, position: safeCount });
-const statement = v.object({
+const logPage = v.object({
   incarnation: text,
   from: safeCount,
   jobs,
@@ -15,15 +15,13 @@
   completeAgoMs: v.nullable(amount),
 });
 
-export const parseStatement = (
-  raw: unknown,
-): { ok: true; value: Statement } | { ok: false; cause: string } => {
-  const r = parseWith(statement, raw);
+export const parseLogPage = (raw: unknown): { ok: true; value: LogPage } | { ok: false; cause: string } => {
+  const r = parseWith(logPage, raw);
   if (!r.ok) return r;
-  const s = r.value as Statement;
+  const s = r.value as LogPage;
   return s.from + s.jobs.length > s.end
     ? { ok: false, cause: 'jobs beyond the end of the log' }
-    : (r as { ok: true; value: Statement });
+    : (r as { ok: true; value: LogPage });
 };
 
 /** Null where the asker holds nothing, or says so in a shape that we don't know. */
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -98,7 +98,9 @@
   deadlineS: v.nullable(v.number()),
 });
 const jobRecord = v.object({ spec, submittedAt: v.number(), cancelledAt: v.nullable(v.number()) });
-const finalRecord = v.object({ state: v.picklist(['done', 'withdrawn']), tasks: v.number() });
+/** The word that stands in stored records for a cancelled job. */
+const STORED_CANCELLED = 'withdrawn';
+const finalRecord = v.object({ state: v.picklist(['done', STORED_CANCELLED]), tasks: v.number() });
 const leaderRecord = v.object({ node: text, term: v.number() });
 const termRecord = v.object({ term: v.number() });
 const rosterPageRecord = v.object({
@@ -120,7 +122,14 @@
 /** Whether a job's record says that it is cancelled; cheaper than reading all of it. */
 export const saysCancelled = (raw: unknown): boolean =>
   typeof raw === 'object' && raw !== null && 'cancelledAt' in raw && typeof raw.cancelledAt === 'number';
-export const parseFinal = (raw: unknown): FinalRecord | null => orNull(finalRecord, raw);
+export const parseFinal = (raw: unknown): FinalRecord | null => {
+  const record = orNull(finalRecord, raw);
+  return record && { state: record.state === 'done' ? 'done' : 'cancelled', tasks: record.tasks };
+};
+export const finalData = ({ state, tasks }: FinalRecord) => ({
+  state: state === 'done' ? 'done' : STORED_CANCELLED,
+  tasks,
+});
 export const parseLeader = (raw: unknown) =>
   orNull(leaderRecord, raw) as { node: NodeName; term: Term } | null;
 export const parseTerm = (raw: unknown) => (orNull(termRecord, raw)?.term ?? null) as Term | null;
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -42,7 +42,7 @@
       id: j.nameId as JobId,
       class: j.herd,
       team: j.outfit as Team,
-      kind: kinds[j.gait]!,
+      kind: kinds[j.gait],
       priority: j.rank,
       tasks: j.hands,
       cpus: j.vcpus,
@@ -63,7 +63,17 @@
   };
 };
 
-export type UserStatus = 'pending' | 'running' | 'done' | 'withdrawn';
+export type UserStatus = 'pending' | 'running' | 'done' | 'cancelled';
+
+/** The protocol's word for each status. */
+const statusWords: Record<UserStatus, string> = {
+  pending: 'pending',
+  running: 'running',
+  done: 'done',
+  cancelled: 'withdrawn',
+};
 
 export const statusBody = (id: JobId, status: UserStatus, counts?: { done: number; running: number }) =>
-  counts ? { nameId: id, status, done: counts.done, running: counts.running } : { nameId: id, status };
+  counts
+    ? { nameId: id, status: statusWords[status], done: counts.done, running: counts.running }
+    : { nameId: id, status: statusWords[status] };
--- a/src/wire/workers.ts
+++ b/src/wire/workers.ts
@@ -1,7 +1,7 @@
 // Workers' side: reports and commands.
 import * as v from 'valibot';
 import { amount, counter, integer, parseWith, safeCount, text } from './common.js';
-import type { Command, ExitCause, Report, ReportedTask, TaskState } from '../core/types.js';
+import type { Command, Report, ReportedTask, TaskState } from '../core/types.js';
 import type {
   Attempt,
   Counter,
@@ -50,8 +50,8 @@
     job: t.hand.slice(0, slash) as JobId,
     index: Number(t.hand.slice(slash + 1)),
     attempt: t.try as Attempt,
-    state: states[t.status]!,
-    cause: (t.cause ?? null) as ExitCause | null,
+    state: states[t.status],
+    cause: t.cause ?? null,
     saved: t.stored ?? false,
   };
 };
