--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -9,13 +9,13 @@
 import { CloudClient } from './cloud-client.js';
 import { httpConnections, type HttpReply } from './http-server.js';
 import type { HttpMessage } from './http-parser.js';
-import { ImageLocationStore, isImageLocations } from './image-locations.js';
+import { ImageLocationStore } from './image-locations.js';
 import { LeaderLoop } from './leader-loop.js';
-import { FORWARD_TIMEOUT_MS, isLeaderRequest } from './leader-route.js';
 import { Logger } from './logger.js';
 import { Membership } from './membership.js';
 import { OverdueFences } from './overdue-fences.js';
-import { PeerLink, answerPeer, type PeerRequest, type PeerResponse, type PeerStatus } from './peer-link.js';
+import { PeerHandler } from './peer-handler.js';
+import { PeerLink, answerPeer } from './peer-link.js';
 import { STATUS_CONNECTIONS, socketBudget } from './sockets.js';
 import { StateClient, reserves } from './state-client.js';
 import { UserApi } from './user-api.js';
@@ -25,7 +25,7 @@
 import type { MachineType } from '../core/types.js';
 import type { JobId, NodeName, Steady } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
-import { parsePosition } from '../wire/peers.js';
+import type { PeerResponses, PeerStatus, TaskCounts } from '../wire/peer-messages.js';
 import { keys, parseStoredTypes } from '../wire/state.js';
 
 const STATE_FRESH_MS = 2500;
@@ -39,15 +39,13 @@
 /** The leader's part of the state service's budget. */
 const leaderShare = 0.6;
 
-const forwarded = (a: PeerResponse | null): HttpReply | null => {
-  const status = a?.['status'];
-  const body = a?.['body'];
-  const retryAfterS = a?.['retryAfterS'];
-  if (typeof status !== 'number') return null;
+const forwarded = (answer: PeerResponses['user'] | null): HttpReply | null => {
+  if (answer === null) return null;
+  const { status, body, retryAfterS } = answer;
   return {
     status,
-    ...(body instanceof Uint8Array ? { body: Buffer.from(body) } : {}),
-    ...(typeof retryAfterS === 'number' ? { retryAfterS } : {}),
+    ...(body === null ? {} : { body: Buffer.from(body) }),
+    ...(retryAfterS === null ? {} : { retryAfterS }),
   };
 };
 const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
@@ -94,7 +92,8 @@
     );
     for (const peer of platform.peers) {
       const own = (): PeerStatus => this.status();
-      this.links.push(new PeerLink(peer, own, (s) => this.heard(s), this.cancelled));
+      const onMalformed = (name: NodeName | null, cause: string): void => this.malformed(name, cause);
+      this.links.push(new PeerLink(peer, own, (s) => this.heard(s), this.cancelled, onMalformed));
     }
     this.users = new UserApi(
       platform,
@@ -134,12 +133,18 @@
     this.listen(this.platform.publicAddr, onPublic, this.sockets.backlog);
     const inside = { connections: STATUS_CONNECTIONS, idleMs: 10_000, bodyBytes: 1024 };
     const onStatus = httpConnections(inside, this.log, (q, reply) => reply(this.inspect(q)));
+    const handler = this.peerHandler();
     // A frame's first byte is always 0, so a plain HTTP request for the status page is told apart by its first.
     const onInternal = (socket: Socket): void => {
       socket.on('error', () => socket.destroy());
       socket.once('data', (chunk) => {
         socket.pause();
-        if (chunk[0] === 0) answerPeer(socket, (q) => this.answer(q));
+        if (chunk[0] === 0)
+          answerPeer(
+            socket,
+            (q) => handler.answer(q),
+            (cause) => this.malformed(null, cause),
+          );
         else onStatus(socket);
         socket.unshift(chunk);
         socket.resume();
@@ -278,57 +283,23 @@
     if (s.reaches) this.membership.learn(s.reaches.node, s.reaches.term);
   }
 
-  private async answer(q: PeerRequest): Promise<PeerResponse> {
-    switch (q.kind) {
-      case 'heartbeat':
-        this.heard(q.from);
-        return { status: this.status(), cancelled: this.cancelled.pageAfter(parsePosition(q.have)) };
-      case 'cancelled':
-        this.cancelled.pushed(q.jobs);
-        return {};
-      case 'relay': {
-        if (!this.membership.holdsLease) return {};
-        const r = await this.reportHandler.relayed(Buffer.from(q.report));
-        return { status: r.status, body: r.body ?? Buffer.alloc(0), quiet: r.quiet };
-      }
-      case 'vouch': {
-        const own = this.membership.election.held?.term === q.term;
-        return {
-          full: own && Array.isArray(q.machines) ? (this.loop?.unchangedReports(q.machines) ?? null) : null,
-        };
-      }
-      case 'forward':
-        return this.forward(q.to, q.request);
-      case 'user': {
-        const { method, target } = q;
-        const message = {
-          method,
-          target,
-          status: 0,
-          headers: new Map(),
-          keepAlive: true,
-          body: Buffer.from(q.body),
-        };
-        const r = await this.users.handle(message);
-        return { status: r.status, body: r.body ?? null, retryAfterS: r.retryAfterS ?? null };
-      }
-      case 'heard':
-        return { heard: Array.isArray(q.machines) ? this.reportHandler.heardOf(q.machines) : [] };
-      case 'hints':
-        if (isImageLocations(q.images)) this.imageLocations.merge(q.images, performance.now());
-        return {};
-      case 'counts':
-        return { counts: this.ownCounts(q.job as JobId) };
-      default:
-        return {};
-    }
+  private peerHandler(): PeerHandler {
+    return new PeerHandler({
+      links: this.links,
+      membership: this.membership,
+      reportHandler: this.reportHandler,
+      cancelled: this.cancelled,
+      users: this.users,
+      imageLocations: this.imageLocations,
+      leading: () => this.loop,
+      status: () => this.status(),
+      heard: (status) => this.heard(status),
+      counts: (id) => this.ownCounts(id),
+    });
   }
 
-  /** For a peer that cannot reach the leader. Only what goes to a leader, so nothing is passed on twice. */
-  private async forward(to: NodeName, request: unknown): Promise<PeerResponse> {
-    const link = this.links.find((l) => l.name === to && l.alive(performance.now()));
-    if (!link || !isLeaderRequest(request)) return {};
-    return (await link.ask(request, FORWARD_TIMEOUT_MS)) ?? {};
+  private malformed(peer: NodeName | null, cause: string): void {
+    this.log.limited('peer-message', 'info', { peer, cause }, 'malformed message of a peer dropped');
   }
 
   /** A new leader finds out by reports what runs where, but not which images are cached: its peers tell it. */
@@ -340,19 +311,18 @@
     for (const link of this.links) void link.ask({ kind: 'hints', images }, 1000);
   }
 
-  private ownCounts(id: JobId): { done: number; running: number } | null {
+  private ownCounts(id: JobId): TaskCounts | null {
     const job = this.loop?.core?.jobs.get(id);
     return job ? { done: job.doneCount, running: job.runningCount } : null;
   }
 
   /** Counts are for display only: without the leader they are left at zero. */
-  private async counts(id: JobId): Promise<{ done: number; running: number } | null> {
+  private async counts(id: JobId): Promise<TaskCounts | null> {
     if (this.loop) return this.ownCounts(id);
     const now = performance.now();
     const link = this.links.find((l) => l.alive(now) && l.status?.leading);
-    const a = await link?.ask({ kind: 'counts', job: id }, 500);
-    const c = a?.['counts'] as { done: number; running: number } | null | undefined;
-    return c && typeof c.done === 'number' && typeof c.running === 'number' ? c : null;
+    const answer = await link?.ask({ kind: 'counts', job: id }, 500);
+    return answer?.counts ?? null;
   }
 
   private inspect(q: HttpMessage): HttpReply {
--- a/src/runtime/image-locations.ts
+++ b/src/runtime/image-locations.ts
@@ -4,13 +4,6 @@
 const PAGE = 100;
 const KEPT_MS = 60_000;
 
-export const isImageLocations = (x: unknown): x is ImageLocations =>
-  typeof x === 'object' &&
-  x !== null &&
-  Object.values(x).every(
-    (v) => Array.isArray(v) && v.every((i) => Array.isArray(i) && typeof i[0] === 'string'),
-  );
-
 export class ImageLocationStore {
   private readonly known = new Map<string, { images: ImageLocations[string]; at: number }>();
   private next = 0;
--- a/src/runtime/leader-route.ts
+++ b/src/runtime/leader-route.ts
@@ -1,15 +1,12 @@
 // The way to the leader: the link to it, or over a peer that reaches it while the network between the two is cut.
 import type { NodeName, Steady, Term } from '../core/units.js';
-import type { LeaderStatus, PeerLink, PeerRequest, PeerResponse } from './peer-link.js';
-
-/** What a peer passes on to the leader for a controller that cannot reach it. */
-export type LeaderRequest = Extract<PeerRequest, { kind: 'relay' | 'vouch' }>;
-
-export const isLeaderRequest = (request: unknown): request is LeaderRequest =>
-  typeof request === 'object' &&
-  request !== null &&
-  'kind' in request &&
-  (request.kind === 'relay' || request.kind === 'vouch');
+import type { PeerLink } from './peer-link.js';
+import {
+  parsePeerResponse,
+  type LeaderRequest,
+  type LeaderStatus,
+  type PeerResponses,
+} from '../wire/peer-messages.js';
 
 /** A peer gives up on the leader's answer before the controller that asked gives up on the peer. */
 export const FORWARD_TIMEOUT_MS = 2000;
@@ -18,7 +15,7 @@
   leader: LeaderStatus;
   /** The peer in between; null when the leader is asked itself. */
   over: NodeName | null;
-  ask: (request: LeaderRequest, timeoutMs: number) => Promise<PeerResponse | null>;
+  ask: <R extends LeaderRequest>(request: R, timeoutMs: number) => Promise<PeerResponses[R['kind']] | null>;
 }
 
 export const sameRoute = (a: LeaderRoute, b: LeaderRoute): boolean =>
@@ -36,13 +33,17 @@
 };
 
 const forwarded = (link: PeerLink): LeaderRoute | null => {
-  // A peer of an older version does not say whom it reaches.
   const leader = link.status?.reaches ?? null;
-  if (leader === null || typeof leader.term !== 'number') return null;
+  if (leader === null) return null;
   return {
     leader,
     over: link.name,
-    ask: (request, timeoutMs) => link.ask({ kind: 'forward', to: leader.node, request }, timeoutMs),
+    ask: async <R extends LeaderRequest>(request: R, timeoutMs: number) => {
+      const raw = await link.ask({ kind: 'forward', to: leader.node, request }, timeoutMs);
+      const kind: R['kind'] = request.kind;
+      const response = raw === null ? null : parsePeerResponse(kind, raw);
+      return response?.ok ? response.value : null;
+    },
   };
 };
 
--- a/src/runtime/overdue-fences.ts
+++ b/src/runtime/overdue-fences.ts
@@ -77,12 +77,10 @@
     const answers = await Promise.all(
       this.links.map((l) => l.ask({ kind: 'heard', machines }, ASK_TIMEOUT_MS)),
     );
-    const heard = new Set(
-      answers.flatMap((a) => (Array.isArray(a?.['heard']) ? (a['heard'] as unknown[]) : [])),
-    );
+    const heard = new Set(answers.flatMap((answer) => answer?.heard ?? []));
     for (const id of machines) if (heard.has(id)) this.reportHandler.forgetReport(id);
     // Whom a controller out of reach may hear is spared, unless we know that it holds such a task.
-    const all = answers.every((a) => Array.isArray(a?.['heard']));
+    const all = answers.every((answer) => answer !== null);
     const silent = machines.filter((id) => !heard.has(id) && (all || known.includes(id)));
     if (silent.length === 0) return;
     const ok = await this.cloud.giveBack(silent);
--- a/src/runtime/peer-link.ts
+++ b/src/runtime/peer-link.ts
@@ -3,12 +3,16 @@
 import { connect, type Socket } from 'node:net';
 import type { Platform } from '../config/platform.js';
 import type { LogPosition, LogPage } from '../core/cancellations.js';
-import type { ImageLocations } from '../core/leader.js';
-import type { UnchangedReport } from '../core/types.js';
-import type { NodeName, Steady, Term, Zone } from '../core/units.js';
+import type { NodeName, Steady, Zone } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
+import {
+  parsePeerRequest,
+  parsePeerResponse,
+  type PeerRequest,
+  type PeerResponses,
+  type PeerStatus,
+} from '../wire/peer-messages.js';
 import { parseLogPage } from '../wire/peers.js';
-import type { LeaderRequest } from './leader-route.js';
 
 const MAX_FRAME = 256 * 1024;
 const HEARTBEAT_MS = 400;
@@ -19,46 +23,18 @@
 const MAX_OPEN = 1024;
 const GATHER_MS = 5;
 
-export interface LeaderStatus {
-  node: NodeName;
-  term: Term;
-  leading: boolean;
-  /** It holds the leader's lease and knows the cluster, with or without authority: in an outage nobody has any. */
-  holding: boolean;
-}
-
-export interface PeerStatus extends LeaderStatus {
-  /** The leader that it reaches itself, so that others may reach it over this peer. */
-  reaches: LeaderStatus | null;
-  stateOk: boolean;
-  /** Workers reach it themselves. */
-  hearing: boolean;
-  /** How long ago it last knew of a leader; null: never. */
-  leaderSeenAgoMs: number | null;
-}
-export type PeerRequest =
-  /** `have`: how much of the answerer's log of cancellations the asker holds. */
-  | { kind: 'heartbeat'; from: PeerStatus; have: LogPosition | null }
-  | { kind: 'cancelled'; jobs: string[] }
-  /** Which of these machines reported to the answerer itself lately? */
-  | { kind: 'heard'; machines: string[] }
-  | { kind: 'relay'; report: Uint8Array }
-  | { kind: 'vouch'; term: Term; machines: UnchangedReport[] }
-  /** To be passed on to a leader that the asker cannot reach; the answer is the leader's. */
-  | { kind: 'forward'; to: NodeName; request: LeaderRequest }
-  | { kind: 'user'; method: string; target: string; body: Uint8Array }
-  | { kind: 'hints'; images: ImageLocations }
-  | { kind: 'counts'; job: string };
-export type PeerResponse = Record<string, unknown>;
-
+/** A request or the response to it; an answerer that can't say has null. Names are short: they go with each message. */
 interface Frame {
+  /** The asker's number of the request. */
   i: number;
-  q?: PeerRequest;
-  a?: PeerResponse;
+  /** The request. */
+  q?: unknown;
+  /** The response. */
+  a?: unknown;
 }
 
-const frame = (f: Frame): Buffer => {
-  const body = encode(f);
+const encodeFrame = (message: Frame): Buffer => {
+  const body = encode(message);
   const head = Buffer.alloc(4);
   head.writeUInt32BE(body.length);
   return Buffer.concat([head, body]);
@@ -91,7 +67,7 @@
   constructor(private readonly socket: Socket) {}
 
   push(f: Frame): void {
-    this.frames.push(frame(f));
+    this.frames.push(encodeFrame(f));
     if (this.frames.length > 1) return;
     setTimeout(() => {
       const all = this.frames;
@@ -101,26 +77,34 @@
   }
 }
 
-export const answerPeer = (socket: Socket, handle: (q: PeerRequest) => Promise<PeerResponse>): void => {
+/** Answers what a peer asks on its connection. */
+export const answerPeer = (
+  socket: Socket,
+  handle: (request: PeerRequest) => Promise<unknown>,
+  onMalformed: (cause: string) => void,
+): void => {
   const reader = new FrameReader();
   const outbox = new Outbox(socket);
   let open = 0;
-  socket.on('data', (chunk) => {
-    const frames = reader.push(chunk);
-    if (frames === null) {
-      socket.destroy();
+  const answer = ({ i, q }: Frame): void => {
+    const request = parsePeerRequest(q);
+    if (!request.ok) {
+      onMalformed(request.cause);
+      outbox.push({ i, a: null }); // at once, rather than let the asker wait
       return;
     }
-    for (const f of frames) {
-      if (!f.q || typeof f.q !== 'object') continue;
-      if (open >= MAX_OPEN && f.q.kind !== 'heartbeat') continue; // a peer that asks faster than we answer is not answered
-      open++;
-      const { i } = f;
-      void handle(f.q).then((a) => {
-        open--;
-        outbox.push({ i, a });
-      });
-    }
+    // A peer that asks faster than we answer is not answered.
+    if (open >= MAX_OPEN && request.value.kind !== 'heartbeat') return;
+    open++;
+    void handle(request.value).then((a) => {
+      open--;
+      outbox.push({ i, a });
+    });
+  };
+  socket.on('data', (chunk) => {
+    const frames = reader.push(chunk);
+    if (frames === null) socket.destroy();
+    else for (const message of frames) answer(message);
   });
   socket.on('error', () => socket.destroy());
 };
@@ -137,7 +121,7 @@
   private outbox: Outbox | null = null;
   private connected = false;
   private nextId = 1;
-  private readonly waiting = new Map<number, (a: PeerResponse | null) => void>();
+  private readonly waiting = new Map<number, (response: unknown) => void>();
   status: PeerStatus | null = null;
   private heardAt = -Infinity;
   private heartbeatOpen = false;
@@ -148,6 +132,7 @@
     private readonly own: () => PeerStatus,
     private readonly onStatus: (s: PeerStatus) => void,
     private readonly cancelled: CancellationExchange,
+    private readonly onMalformed: (peer: NodeName, cause: string) => void,
   ) {}
 
   get name(): NodeName {
@@ -175,23 +160,35 @@
     setInterval(() => void this.heartbeat(), HEARTBEAT_MS);
   }
 
-  ask(q: PeerRequest, timeoutMs: number): Promise<PeerResponse | null> {
+  /** Null without an answer in time, or with one of another shape. */
+  async ask<R extends PeerRequest>(request: R, timeoutMs: number): Promise<PeerResponses[R['kind']] | null> {
+    const raw = await this.exchange(request, timeoutMs);
+    if (raw === null || raw === undefined) return null;
+    const kind: R['kind'] = request.kind;
+    const response = parsePeerResponse(kind, raw);
+    if (response.ok) return response.value;
+    this.onMalformed(this.name, response.cause);
+    return null;
+  }
+
+  private exchange(request: PeerRequest, timeoutMs: number): Promise<unknown> {
     return new Promise((resolve) => {
       const { outbox } = this;
       // Heartbeats pass: a link full of other questions is not a dead one.
-      if (!outbox || !this.connected || (this.waiting.size >= MAX_OPEN && q.kind !== 'heartbeat')) {
+      const full = this.waiting.size >= MAX_OPEN && request.kind !== 'heartbeat';
+      if (!outbox || !this.connected || full) {
         resolve(null);
         return;
       }
       const i = this.nextId++;
-      const timer = setTimeout(() => finish(null), timeoutMs);
-      const finish = (a: PeerResponse | null): void => {
+      const finish = (response: unknown): void => {
         clearTimeout(timer);
         this.waiting.delete(i);
-        resolve(a);
+        resolve(response);
       };
+      const timer = setTimeout(() => finish(null), timeoutMs);
       this.waiting.set(i, finish);
-      outbox.push({ i, q });
+      outbox.push({ i, q: request });
     });
   }
 
@@ -200,21 +197,19 @@
     this.heartbeatOpen = true;
     const askedAt = performance.now() as Steady;
     const have = this.cancelled.have(this.name);
-    const a = await this.ask({ kind: 'heartbeat', from: this.own(), have }, ALIVE_MS);
+    const answer = await this.ask({ kind: 'heartbeat', from: this.own(), have }, ALIVE_MS);
     this.heartbeatOpen = false;
-    if (a === null) {
+    if (answer === null) {
       // A connection that stopped answering may sit behind a cut: a new one works as soon as the cut ends.
       if (this.connected && !this.alive(performance.now())) this.socket?.destroy();
       return;
     }
-    const status = a['status'] as PeerStatus | undefined;
-    if (!status || typeof status.term !== 'number') return;
     this.heardAt = performance.now();
-    this.status = status;
-    this.onStatus(status);
-    const s = parseLogPage(a['cancelled']);
-    if (s.ok) this.cancelled.heard(this.name, s.value, askedAt);
-    else this.cancelled.malformed(this.name, s.cause);
+    this.status = answer.status;
+    this.onStatus(answer.status);
+    const page = parseLogPage(answer.cancelled);
+    if (page.ok) this.cancelled.heard(this.name, page.value, askedAt);
+    else this.cancelled.malformed(this.name, page.cause);
   }
 
   private dial(): void {
@@ -233,7 +228,7 @@
     socket.on('data', (chunk) => {
       const frames = reader.push(chunk);
       if (frames === null) socket.destroy();
-      else for (const f of frames) this.waiting.get(f.i)?.(f.a ?? null);
+      else for (const f of frames) this.waiting.get(f.i)?.(f.a);
     });
     socket.on('error', (e) => {
       if ('code' in e && e.code === 'ECONNREFUSED') this.refusedAt = performance.now();
--- a/src/runtime/report-handler.ts
+++ b/src/runtime/report-handler.ts
@@ -4,7 +4,8 @@
 import type { HttpReply } from './http-server.js';
 import type { Membership } from './membership.js';
 import { LeaderRoutes, type LeaderRoute } from './leader-route.js';
-import type { LeaderStatus, PeerLink } from './peer-link.js';
+import type { PeerLink } from './peer-link.js';
+import type { LeaderStatus } from '../wire/peer-messages.js';
 import type { LeaderLoop } from './leader-loop.js';
 import type { Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
@@ -221,13 +222,11 @@
     if (this.mayAnswerUnchanged(report, now) && this.unchangedReports.covers(report, route))
       return ['vouched for', answer(200, reportAnswer(term, []))];
     const relayed = await route.ask({ kind: 'relay', report: body }, RELAY_TIMEOUT_MS);
-    const status = relayed?.['status'];
-    const bytes = relayed?.['body'];
     // One without authority may not be able to answer for the worker; then we may.
-    const useful = status === 200 || leading;
-    if (typeof status === 'number' && bytes instanceof Uint8Array && useful) {
-      this.unchangedReports.learn(report, term, status === 200 && relayed?.['quiet'] === true);
-      return ['relayed', { status, body: Buffer.from(bytes) }];
+    if (relayed && (relayed.status === 200 || leading)) {
+      const { status, body: reply, quiet } = relayed;
+      this.unchangedReports.learn(report, term, status === 200 && quiet);
+      return ['relayed', { status, body: Buffer.from(reply) }];
     }
     return this.renewWithoutLeader(report, this.clock());
   }
--- a/src/runtime/unchanged-reports.ts
+++ b/src/runtime/unchanged-reports.ts
@@ -4,7 +4,6 @@
 import type { Report, UnchangedReport } from '../core/types.js';
 import { sameCounter, type Counter, type MachineId, type Term } from '../core/units.js';
 import { sameRoute, type LeaderRoute } from './leader-route.js';
-import type { PeerResponse } from './peer-link.js';
 
 const GATHER_MS = 200;
 const TIMEOUT_MS = 1500;
@@ -58,13 +57,11 @@
     const { batchRoute: route, batch } = this;
     this.batch = new Map();
     if (!route || batch.size === 0) return;
-    const a: PeerResponse | null = await route.ask(
+    const answer = await route.ask(
       { kind: 'vouch', term: route.leader.term, machines: [...batch.values()] },
       TIMEOUT_MS,
     );
-    const full = a?.['full'];
     // No word from the leader, or another one: every machine is reported in full again.
-    if (!Array.isArray(full)) for (const id of batch.keys()) this.known.delete(id);
-    else for (const id of full) this.known.delete(id as MachineId);
+    for (const id of answer?.full ?? batch.keys()) this.known.delete(id);
   }
 }
