--- a/src/test/sim/host.ts
+++ b/src/test/sim/host.ts
@@ -7,6 +7,11 @@
 import type { Network } from './network.js';
 
 const EPOCH = 1_700_000_000_000;
+/** Controllers seed their random numbers with it: the same day must give the same verdict in each test process. */
+const SIMULATED_PID = 4711;
+const setPid = (value: number): void => {
+  Object.defineProperty(process, 'pid', { value, configurable: true, enumerable: true, writable: false });
+};
 const drain = setImmediate;
 
 /** One run of a process (or a stand-in) at an address. */
@@ -68,6 +73,8 @@
     const { connect, createServer } = net;
     const perfNow = performance.now.bind(performance);
     const dateNow = Date.now;
+    const { pid } = process;
+    setPid(SIMULATED_PID);
     const timer = (): Timer => {
       const t: Timer = { cancelled: false, unref: () => t, ref: () => t };
       return t;
@@ -115,6 +122,7 @@
       Object.assign(globalThis, { setTimeout, clearTimeout, setInterval, clearInterval });
       performance.now = perfNow;
       Date.now = dateNow;
+      setPid(pid);
       Object.assign(net, { connect, createServer });
       syncBuiltinESMExports();
     };
