--- a/src/config/platform.ts
+++ b/src/config/platform.ts
@@ -46,7 +46,20 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: positive }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: positive,
+      next: v.optional(
+        v.object({
+          rps: v.optional(positive),
+          write_rps: v.optional(positive),
+          value_kb: v.optional(positive),
+          txn_ops: v.optional(positive),
+        }),
+      ),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: positive }),
     limits: v.object({ cpu: positive, memory_mb: positive, fd_limit: positive }),
   }),
@@ -69,6 +82,24 @@
   return { host: s.slice(0, at), port: Number(s.slice(at + 1)) };
 };
 
+/** What the state service takes: requests and changes a second, the size of a value, changes in a transaction. */
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
+}
+
+type StateSettings = v.InferOutput<typeof schema>['settings']['state'];
+
+/** Guards against writes that a service with lowered limits refuses, since they come without notice. */
+const stateLimits = ({ next = {}, ...now }: StateSettings): StateLimits => ({
+  rps: Math.min(now.rps, next.rps ?? Infinity),
+  writeRps: Math.min(now.write_rps, next.write_rps ?? Infinity),
+  valueKb: Math.min(now.value_kb, next.value_kb ?? Infinity),
+  txnOps: Math.min(now.txn_ops, next.txn_ops ?? Infinity),
+});
+
 export interface Platform {
   name: NodeName;
   zone: Zone;
@@ -82,7 +113,8 @@
   teams: TeamLimits[];
   objectives: Objective[];
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
-  stateLimits: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  /** The smaller of the present limits and of those announced for later: what is kept holds under both. */
+  stateLimits: StateLimits;
   cloudLimits: { rps: number; listLagS: number };
   limits: { cpu: number; memoryMb: number; sockets: number };
 }
@@ -131,12 +163,7 @@
       gangPeerS: s.workers.gang_peer_s,
       cancelS: s.workers.cancel_s,
     },
-    stateLimits: {
-      rps: s.state.rps,
-      writeRps: s.state.write_rps,
-      valueKb: s.state.value_kb,
-      txnOps: s.state.txn_ops,
-    },
+    stateLimits: stateLimits(s.state),
     cloudLimits: { rps: s.cloud.rps, listLagS: s.cloud.list_lag_s },
     limits: { cpu: s.limits.cpu, memoryMb: s.limits.memory_mb, sockets: s.limits.fd_limit },
   };
--- a/src/core/arrivals.ts
+++ b/src/core/arrivals.ts
@@ -14,10 +14,15 @@
 
   note(record: JobRecord, now: Steady, wall: WallTime): void {
     const at = (now - Math.max(0, wall - record.submittedAt)) as Steady;
-    const h = this.classes.get(record.spec.class) ?? { spec: record.spec, arrivals: [] };
-    h.spec = record.spec;
-    h.arrivals.push({ at, tasks: record.spec.tasks });
-    this.classes.set(record.spec.class, h);
+    this.noteTasks(record.spec, at);
+  }
+
+  /** Work that began to need room then. */
+  noteTasks(spec: JobSpec, at: Steady): void {
+    const h = this.classes.get(spec.class) ?? { spec, arrivals: [] };
+    h.spec = spec;
+    h.arrivals.push({ at, tasks: spec.tasks });
+    this.classes.set(spec.class, h);
   }
 
   /** Room for the fluctuation of arrivals (so many standard deviations) over the time that a new machine takes. */
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -146,7 +146,7 @@
         continue;
       }
       if (placement.unpreemptible) continue;
-      for (let rank = priorityRank[spec.priority] + 1; rank < load.below.length; rank++)
+      for (let rank = priorityRank[job.priority] + 1; rank < load.below.length; rank++)
         add((load.below[rank] ??= nothing()), spec);
     }
     this.loadMemo = load;
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -1,8 +1,5 @@
-import type { JobRecord } from './types.js';
-import type { Attempt, Counter, JobId, MachineId, Stamp, Steady, WallTime } from './units.js';
-
-/** Bits of completed tasks, kept in chunks so that 100,000 tasks fit the state service's value limit. */
-export const CHUNK_TASKS = 16_384;
+import { priorityRank, type JobRecord, type Priority } from './types.js';
+import type { Attempt, Counter, JobId, MachineId, SegmentName, Stamp, Steady, WallTime } from './units.js';
 
 /** Where a task is, or may be. It stays until the machine can no longer hold it. */
 export interface Placement {
@@ -46,6 +43,7 @@
 
 export type WaitReason =
   | { why: 'queued' }
+  | { why: 'waiting for other jobs'; jobs: number }
   | { why: 'task may still run on a silent machine' }
   | { why: 'back-off'; until: Steady }
   | { why: 'team limit' }
@@ -60,11 +58,12 @@
   readonly done: Uint8Array;
   readonly durable: Uint8Array;
   doneCount = 0;
-  /** Chunks with completions that the state service doesn't hold yet. */
-  readonly unsavedChunks = new Set<number>();
-  readonly writing = new Set<number>();
-  /** Chunks that have a key in the state service. */
-  readonly stored = new Set<number>();
+  /** Tasks whose completion the state service doesn't hold yet, and that no write under way has. */
+  readonly unsaved = new Set<number>();
+  /** Segments of the completions that are being written. */
+  readonly writing = new Set<SegmentName>();
+  /** Segments that have a key in the state service. */
+  readonly stored = new Set<SegmentName>();
   private readonly requeued = new Set<number>();
   private cursor = 0;
   private placedNotDone = 0;
@@ -91,13 +90,19 @@
   readonly held = new Set<MachineId>();
   everRan = false;
   waitingSince: Steady;
+  /** Jobs that it depends on and that are not known to be done. */
+  readonly unfinishedDependencies = new Set<JobId>();
+  /** A job that it depends on is cancelled, and so is it: none of its tasks was ever started. */
+  dependencyCancelled = false;
+  /** From the jobs that depend on it: the highest of their priorities, and when it has to be over for theirs. */
+  inherited: { priority: Priority; dueAt: WallTime | null } | null = null;
 
   constructor(
     readonly id: JobId,
     public record: JobRecord,
     public stamp: Stamp,
     /** Known before this leadership began: an earlier leader may have started its tasks. */
-    readonly inherited: boolean,
+    readonly fromEarlierLeader: boolean,
     now: Steady,
   ) {
     const bytes = Math.ceil(record.spec.tasks / 8);
@@ -111,7 +116,30 @@
   }
 
   get cancelled(): boolean {
-    return this.record.cancelledAt !== null || this.cancellationConfirmedAt !== null;
+    return (
+      this.record.cancelledAt !== null || this.cancellationConfirmedAt !== null || this.dependencyCancelled
+    );
+  }
+
+  /** All that it depends on is done. */
+  get ready(): boolean {
+    return this.unfinishedDependencies.size === 0;
+  }
+
+  /** Its own priority, or that of a job that depends on it where that is higher. */
+  get priority(): Priority {
+    const own = this.spec.priority;
+    return this.inherited && priorityRank[this.inherited.priority] > priorityRank[own]
+      ? this.inherited.priority
+      : own;
+  }
+
+  /** When it has to be over: by its own deadline and those of the jobs that depend on it. */
+  get dueAt(): WallTime | null {
+    const { deadlineS } = this.spec;
+    const own = deadlineS === null ? Infinity : this.record.submittedAt + deadlineS * 1000;
+    const due = Math.min(own, this.inherited?.dueAt ?? Infinity);
+    return due < Infinity ? (due as WallTime) : null;
   }
 
   /** For how long its user may have known that it is cancelled. */
@@ -151,7 +179,7 @@
     this.done[index >> 3] |= 1 << (index & 7);
     this.doneCount++;
     if (this.placements.has(index)) this.placedNotDone--;
-    this.unsavedChunks.add(Math.floor(index / CHUNK_TASKS));
+    this.unsaved.add(index);
   }
 
   /** The first n tasks that are neither done nor placed; none is taken away. */
@@ -183,18 +211,12 @@
     if (index < this.cursor) this.requeued.add(index);
   }
 
-  chunkBytes(chunk: number, from: Uint8Array = this.done): Uint8Array {
-    const start = (chunk * CHUNK_TASKS) / 8;
-    return from.subarray(start, start + CHUNK_TASKS / 8);
-  }
-
-  /** Completions read back from the state service, or confirmed as written to it. */
-  confirmChunk(chunk: number, bytes: Uint8Array): void {
-    this.stored.add(chunk);
-    const start = (chunk * CHUNK_TASKS) / 8;
-    for (let i = 0; i < bytes.length && start + i < this.durable.length; i++) {
-      this.durable[start + i] |= bytes[i];
-      this.done[start + i] |= bytes[i];
+  /** Completions read back from the state service, or confirmed as written to it, from that byte on. */
+  confirmCompletions(segment: SegmentName, startByte: number, bytes: Uint8Array): void {
+    this.stored.add(segment);
+    for (let i = 0; i < bytes.length && startByte + i < this.durable.length; i++) {
+      this.durable[startByte + i] |= bytes[i];
+      this.done[startByte + i] |= bytes[i];
     }
     let count = 0;
     for (const byte of this.done) for (let b = byte; b !== 0; b &= b - 1) count++;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -8,6 +8,7 @@
 import { TypePenalties } from './type-penalties.js';
 import type {
   Command,
+  FinalState,
   JobRecord,
   Leadership,
   ListedMachine,
@@ -21,12 +22,14 @@
   attemptOf,
   type JobId,
   type MachineId,
+  type SegmentName,
   type Stamp,
   type Steady,
   type Team,
   type WallTime,
 } from './units.js';
 import { Completion } from './leader/completion.js';
+import { Dependencies } from './leader/dependencies.js';
 import type { Effect, ImageLocations, LeaderSettings } from './leader/effects.js';
 import { Fleet } from './leader/fleet.js';
 import { Queue } from './leader/queue.js';
@@ -57,6 +60,7 @@
   private readonly reports: Reports;
   private readonly renting: Renting;
   private readonly queue: Queue;
+  private readonly dependencies: Dependencies;
   private readonly completion: Completion;
 
   constructor(
@@ -69,7 +73,8 @@
     this.reports = new Reports(this.state, this.fleet);
     this.renting = new Renting(this.state, this.fleet);
     this.queue = new Queue(this.state);
-    this.completion = new Completion(this.state);
+    this.dependencies = new Dependencies(this.state, (job, now) => this.onReady(job, now));
+    this.completion = new Completion(this.state, this.dependencies);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
   }
 
@@ -160,7 +165,7 @@
     id: JobId,
     record: JobRecord,
     stamp: Stamp,
-    inherited: boolean,
+    fromEarlierLeader: boolean,
     now: Steady,
     wall: WallTime,
   ): void {
@@ -170,15 +175,16 @@
       const cancelledNow = !known.cancelled && record.cancelledAt !== null;
       known.record = record;
       known.stamp = stamp;
-      if (cancelledNow) this.state.cancel(known, now);
+      if (cancelledNow) this.cancelKnown(known, now);
       return;
     }
-    const job = new Job(id, record, stamp, inherited, now);
+    const job = new Job(id, record, stamp, fromEarlierLeader, now);
     this.state.jobs.set(id, job);
     this.state.changedSinceTick = true;
-    this.renting.arrivals.note(record, now, wall);
     this.typePenalties.note(record.spec);
-    this.state.needsScheduling = true;
+    // Jobs that wait for no other were ready when they were submitted.
+    if (record.spec.dependsOn.length === 0) this.renting.arrivals.note(record, now, wall);
+    this.dependencies.learn(job, now);
     const { class: name, tasks, image, estimateS, deadlineS } = record.spec;
     this.state.log('debug', { job: id, class: name, tasks, image, estimateS, deadlineS }, 'job known');
   }
@@ -189,12 +195,30 @@
     if (!job || job.cancellationConfirmedAt !== null) return;
     const news = !job.cancelled;
     job.cancellationConfirmedAt = now;
-    if (news) this.state.cancel(job, now);
+    if (news) this.cancelKnown(job, now);
     this.state.changedSinceTick = true;
   }
 
-  loadProgress(id: JobId, chunk: number, bytes: Uint8Array): void {
-    this.state.jobs.get(id)?.confirmChunk(chunk, bytes);
+  private cancelKnown(job: Job, now: Steady): void {
+    this.state.cancel(job, now);
+    this.dependencies.cancelDependents(job.id, now);
+  }
+
+  /** All that the job depends on is done. */
+  private onReady(job: Job, now: Steady): void {
+    job.waitingSince = now;
+    job.reason = { why: 'queued' };
+    this.state.needsScheduling = true;
+    if (job.spec.dependsOn.length > 0) this.renting.arrivals.noteTasks(job.spec, now);
+  }
+
+  /** The final record of a job that others depend on was read; null: there is none, or no answer came. */
+  onLookup(id: JobId, final: FinalState | null, now: Steady): void {
+    this.dependencies.onLookup(id, final, now);
+  }
+
+  loadProgress(id: JobId, segment: SegmentName, bytes: Uint8Array): void {
+    this.completion.loadProgress(id, segment, bytes);
   }
 
   /** Enough machines are known to be up that silence from all of them means something. */
@@ -222,6 +246,7 @@
     this.fleet.watchSilence(now, wall);
     this.fleet.watchBoots(now);
     this.completion.finishJobs(now);
+    for (const job of this.dependencies.takeLookups(now)) this.state.effects.push({ kind: 'lookup', job });
     if (this.readyToPlace(now)) this.schedule(now, wall);
     this.fleet.returnLeaving(now);
     this.dispatchCommands(now);
@@ -265,6 +290,7 @@
   private schedule(now: Steady, wall: WallTime): void {
     if (!this.state.needsScheduling && !this.hasDue(now)) return;
     this.state.needsScheduling = false;
+    this.dependencies.propagate();
     markGuaranteed(this.state.jobs.values(), this.teams);
     const { queue, blocked } = this.queue.waiting(now, wall);
     const result = runCycle({
@@ -309,6 +335,7 @@
 
   private hasDue(now: Steady): boolean {
     for (const job of this.state.jobs.values()) {
+      if (!job.ready || job.cancelled) continue;
       if (job.pendingCount > 0 && !this.queue.inBackoff(job, now) && now >= job.errorUntil) return true;
     }
     return now - this.renting.lastScale > 1000;
@@ -411,7 +438,8 @@
       id: j.id,
       class: j.spec.class,
       team: j.spec.team,
-      priority: j.spec.priority,
+      priority: j.priority,
+      dueAt: j.dueAt,
       tasks: j.spec.tasks,
       done: j.doneCount,
       placed: j.placements.size,
--- a/src/core/leader/completion.ts
+++ b/src/core/leader/completion.ts
@@ -1,13 +1,19 @@
 // Jobs that end, and progress that becomes durable.
 
-import type { JobId, Steady } from '../units.js';
+import type { Job } from '../job.js';
+import { segmentName, segmentStart } from '../progress-segments.js';
+import type { JobId, SegmentName, Steady } from '../units.js';
 import type { FinishOutcome } from './effects.js';
+import type { Dependencies } from './dependencies.js';
 import type { LeaderState } from './state.js';
 
 export class Completion {
   private lastProgress = -Infinity;
 
-  constructor(private readonly state: LeaderState) {}
+  constructor(
+    private readonly state: LeaderState,
+    private readonly dependencies: Dependencies,
+  ) {}
 
   finishJobs(now: Steady): void {
     const flush = now - this.lastProgress >= 1000;
@@ -20,31 +26,52 @@
       if (job.allDone || (job.cancelled && gone)) {
         job.finalizing = true;
         const state = job.cancelled ? 'cancelled' : 'done';
-        const chunks = [...job.stored];
+        const segments = [...job.stored];
         const { id, stamp } = job;
-        this.state.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, chunks });
-      } else if (flush && job.unsavedChunks.size > 0 && !job.cancelled) {
-        for (const chunk of job.unsavedChunks) {
-          if (job.writing.has(chunk)) continue;
-          job.unsavedChunks.delete(chunk);
-          job.writing.add(chunk);
-          this.state.effects.push({
-            kind: 'progress',
-            job: job.id,
-            chunk,
-            bytes: job.chunkBytes(chunk).slice(),
-          });
-        }
+        this.state.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, segments });
+      } else if (flush && job.unsaved.size > 0 && !job.cancelled) {
+        this.saveProgress(job);
       }
     }
   }
 
-  onProgress(id: JobId, chunk: number, bytes: Uint8Array, ok: boolean): void {
+  /** Writes the segments with new completions, but for those that a write is still under way for. */
+  private saveProgress(job: Job): void {
+    const { segmentBytes } = this.state.settings;
+    const unsaved = new Set<number>();
+    for (const task of job.unsaved) unsaved.add(Math.floor((task >> 3) / segmentBytes));
+    for (const index of unsaved) {
+      const segment = segmentName(index, segmentBytes, job.done.length);
+      if (job.writing.has(segment)) continue;
+      const start = index * segmentBytes;
+      for (const task of job.unsaved)
+        if (Math.floor((task >> 3) / segmentBytes) === index) job.unsaved.delete(task);
+      job.writing.add(segment);
+      const bytes = job.done.slice(start, start + segmentBytes);
+      this.state.effects.push({ kind: 'progress', job: job.id, segment, bytes });
+    }
+  }
+
+  /** Completions that the state service holds, read at the start or in place of a refused write. */
+  loadProgress(id: JobId, segment: SegmentName, bytes: Uint8Array): void {
+    const start = segmentStart(segment);
+    if (start !== null) this.state.jobs.get(id)?.confirmCompletions(segment, start, bytes);
+  }
+
+  onProgress(id: JobId, segment: SegmentName, bytes: Uint8Array, ok: boolean): void {
     const job = this.state.jobs.get(id);
-    if (!job) return;
-    job.writing.delete(chunk);
-    if (ok) job.confirmChunk(chunk, bytes);
-    else job.unsavedChunks.add(chunk);
+    const start = segmentStart(segment);
+    if (!job || start === null) return;
+    job.writing.delete(segment);
+    if (ok) job.confirmCompletions(segment, start, bytes);
+    else this.markUnsaved(job, start, bytes);
+  }
+
+  private markUnsaved(job: Job, startByte: number, bytes: Uint8Array): void {
+    for (let i = 0; i < bytes.length * 8; i++) {
+      const task = startByte * 8 + i;
+      if ((bytes[i >> 3] & (1 << (i & 7))) !== 0 && !job.isDurable(task)) job.unsaved.add(task);
+    }
   }
 
   onFinished(id: JobId, outcome: FinishOutcome, now: Steady): void {
@@ -56,7 +83,10 @@
       const cancelledNow = !job.cancelled && outcome.record.cancelledAt !== null;
       job.record = outcome.record;
       job.stamp = outcome.stamp;
-      if (cancelledNow) this.state.cancel(job, now);
+      if (cancelledNow) {
+        this.state.cancel(job, now);
+        this.dependencies.cancelDependents(id, now);
+      }
       return;
     }
     // Whatever is still reported of it is stopped and forgotten as a task of no known job.
@@ -66,6 +96,7 @@
       if (m) this.state.machinesToCommand.add(m);
     }
     this.state.jobs.delete(id);
+    this.dependencies.finished(id, outcome.state, now);
     this.state.needsScheduling = true;
     this.state.log('debug', { job: id, cancelled: job.cancelled }, 'job finished');
   }
--- /dev/null
+++ b/src/core/leader/dependencies.ts
@@ -0,0 +1,177 @@
+// Jobs that wait for others: held until all that they depend on is done, cancelled with what they depend on, and treated
+// as urgent as the most urgent job that depends on them.
+import type { Job } from '../job.js';
+import { priorityRank, type FinalState, type Priority } from '../types.js';
+import type { JobId, Steady, WallTime } from '../units.js';
+import type { LeaderState } from './state.js';
+
+/** Final states kept for jobs that are submitted only after those that they depend on. */
+const FINAL_STATES_KEPT = 20_000;
+/** Final records asked for at once: a new leader may have many to ask for, and has other questions too. */
+const MAX_LOOKUPS = 16;
+const LOOKUP_RETRY_MS = 500;
+
+interface Inherited {
+  priority: Priority;
+  dueAt: WallTime | null;
+}
+
+interface Lookup {
+  open: boolean;
+  askAgainAt: Steady;
+}
+
+/** The unfinished jobs that depend on others, by what they depend on. */
+export class Dependencies {
+  private readonly dependents = new Map<JobId, Set<Job>>();
+  /** Only what the state service's final records say. */
+  private readonly finalStates = new Map<JobId, FinalState>();
+  /** Jobs that others depend on and that are neither known as unfinished nor known to be final. */
+  private readonly lookups = new Map<JobId, Lookup>();
+  private changed = false;
+
+  constructor(
+    private readonly state: LeaderState,
+    /** All that the job depends on is done: from now on it waits like any other. */
+    private readonly onReady: (job: Job, now: Steady) => void,
+  ) {}
+
+  /** A job that is new to this leader. */
+  learn(job: Job, now: Steady): void {
+    this.lookups.delete(job.id);
+    for (const id of job.spec.dependsOn) this.dependOn(job, id, now);
+    if (job.spec.dependsOn.length > 0) this.changed = true;
+    if (this.dependents.has(job.id)) this.changed = true;
+    if (job.cancelled) this.cancelDependents(job.id, now);
+    if (job.dependencyCancelled) return;
+    if (job.ready) this.onReady(job, now);
+    else this.logWaiting(job);
+  }
+
+  private dependOn(job: Job, id: JobId, now: Steady): void {
+    const final = this.finalStates.get(id);
+    if (final === 'done') return;
+    if (final === 'cancelled' || this.state.jobs.get(id)?.cancelled) {
+      this.cancelWith(job, id, now);
+      return;
+    }
+    job.unfinishedDependencies.add(id);
+    const dependents = this.dependents.get(id) ?? new Set<Job>();
+    dependents.add(job);
+    this.dependents.set(id, dependents);
+    if (!this.state.jobs.has(id)) this.lookups.set(id, { open: false, askAgainAt: now });
+  }
+
+  private logWaiting(job: Job): void {
+    job.reason = { why: 'waiting for other jobs', jobs: job.unfinishedDependencies.size };
+    job.loggedReason = job.reason.why;
+    const { class: name, dependsOn } = job.spec;
+    this.state.log('info', { job: job.id, class: name, dependsOn, ...job.reason }, 'job waits');
+  }
+
+  /** The job is over, as a record in the state service says that can't change any more. */
+  finished(id: JobId, final: FinalState, now: Steady): void {
+    this.lookups.delete(id);
+    if (this.finalStates.size >= FINAL_STATES_KEPT)
+      this.finalStates.delete(this.finalStates.keys().next().value!);
+    this.finalStates.set(id, final);
+    if (final === 'cancelled') {
+      this.cancelDependents(id, now);
+      return;
+    }
+    const waiting = this.dependents.get(id);
+    this.dependents.delete(id);
+    for (const job of waiting ?? []) {
+      job.unfinishedDependencies.delete(id);
+      if (!job.ready || job.cancelled) continue;
+      this.state.log('debug', { job: job.id, class: job.spec.class }, 'job ready');
+      this.onReady(job, now);
+    }
+  }
+
+  /** The job is cancelled: so is all that depends on it, directly or through others. */
+  cancelDependents(id: JobId, now: Steady): void {
+    this.changed = true;
+    const waiting = this.dependents.get(id);
+    this.dependents.delete(id);
+    for (const job of waiting ?? []) this.cancelWith(job, id, now);
+  }
+
+  private cancelWith(job: Job, dependency: JobId, now: Steady): void {
+    if (job.dependencyCancelled) return;
+    job.dependencyCancelled = true;
+    this.state.log('info', { job: job.id, class: job.spec.class, dependency }, 'job cancelled with another');
+    this.state.changedSinceTick = true;
+    this.cancelDependents(job.id, now);
+  }
+
+  /** Jobs whose final records are to be read now. */
+  takeLookups(now: Steady): JobId[] {
+    const due: JobId[] = [];
+    let open = 0;
+    for (const lookup of this.lookups.values()) if (lookup.open) open++;
+    for (const [id, lookup] of this.lookups) {
+      if (open + due.length >= MAX_LOOKUPS) break;
+      if (lookup.open || now < lookup.askAgainAt) continue;
+      lookup.open = true;
+      due.push(id);
+    }
+    return due;
+  }
+
+  /** Null: no final record, or no answer. One that has just been accepted becomes known by the watch. */
+  onLookup(id: JobId, final: FinalState | null, now: Steady): void {
+    const lookup = this.lookups.get(id);
+    if (!lookup) return;
+    lookup.open = false;
+    lookup.askAgainAt = (now + LOOKUP_RETRY_MS) as Steady;
+    this.state.changedSinceTick = true;
+    if (final !== null) this.finished(id, final, now);
+    else if (!this.dependents.has(id)) this.lookups.delete(id);
+  }
+
+  /** Passes priorities and due times back, from the jobs that depend on others to those others. */
+  propagate(): void {
+    if (!this.changed) return;
+    this.changed = false;
+    const visited = new Map<JobId, Inherited | null>();
+    for (const id of this.dependents.keys()) {
+      const job = this.state.jobs.get(id);
+      if (job) this.inherit(job, visited);
+    }
+  }
+
+  /** What the job inherits. Dependencies were accepted before, so there are no cycles; long chains need no recursion. */
+  private inherit(job: Job, visited: Map<JobId, Inherited | null>): void {
+    const stack = [job];
+    while (stack.length > 0) {
+      const top = stack.at(-1)!;
+      const waiting = [...(this.dependents.get(top.id) ?? [])];
+      const first = waiting.find((other) => !visited.has(other.id));
+      if (first) {
+        stack.push(first);
+        continue;
+      }
+      stack.pop();
+      if (visited.has(top.id)) continue;
+      this.setInherited(top, waiting);
+      visited.set(top.id, top.inherited);
+    }
+  }
+
+  private setInherited(job: Job, dependents: Job[]): void {
+    const before = job.priority;
+    let priority: Priority = 'low';
+    let dueAt = Infinity;
+    for (const other of dependents) {
+      if (other.cancelled) continue;
+      if (priorityRank[other.priority] > priorityRank[priority]) priority = other.priority;
+      // The job has to be over when those after it must begin, by their owners' estimates.
+      if (other.dueAt !== null) dueAt = Math.min(dueAt, other.dueAt - other.spec.estimateS * 1000);
+    }
+    job.inherited =
+      dependents.length === 0 ? null : { priority, dueAt: dueAt < Infinity ? (dueAt as WallTime) : null };
+    if (job.priority === before) return;
+    for (const placement of job.placements.values()) this.state.machines.get(placement.machine)?.changed();
+  }
+}
--- a/src/core/leader/effects.ts
+++ b/src/core/leader/effects.ts
@@ -1,11 +1,13 @@
 // What the leader asks the runtime to do, and what it is told at its start.
 import type { RentOrder } from '../scaling.js';
 import type { Command, JobRecord, MachineInfo, TeamLimits, WorkerTimes, FinalState } from '../types.js';
-import type { Counter, Endpoint, JobId, MachineId, Stamp } from '../units.js';
+import type { Counter, Endpoint, JobId, MachineId, SegmentName, Stamp } from '../units.js';
 
 export type Effect =
-  | { kind: 'finish'; job: JobId; stamp: Stamp; state: FinalState; tasks: number; chunks: number[] }
-  | { kind: 'progress'; job: JobId; chunk: number; bytes: Uint8Array }
+  | { kind: 'finish'; job: JobId; stamp: Stamp; state: FinalState; tasks: number; segments: SegmentName[] }
+  /** The final record of a job that others depend on is to be read. */
+  | { kind: 'lookup'; job: JobId }
+  | { kind: 'progress'; job: JobId; segment: SegmentName; bytes: Uint8Array }
   | { kind: 'roster'; page: string; machines: MachineInfo[] }
   | { kind: 'rent'; request: string; order: RentOrder }
   | { kind: 'return'; machines: MachineId[] }
@@ -25,8 +27,10 @@
   listLagS: number;
   /** Room kept for work still to come, in standard deviations of its arrivals. */
   headroom: number;
-  /** Machines on one page of the durable roster. */
-  rosterPage: number;
+  /** Whether one page of the durable roster can name all of these machines within the limit on a value. */
+  fitsRosterPage: (machines: MachineInfo[]) => boolean;
+  /** Bytes of completions in one record. */
+  segmentBytes: number;
   /** Machines looked at in one cycle, at the most. */
   cycleWork: number;
   /** Uniform in [0, 1). */
@@ -34,4 +38,6 @@
 }
 
 export type FinishOutcome =
-  { kind: 'ok' } | { kind: 'retry' } | { kind: 'changed'; record: JobRecord; stamp: Stamp };
+  | { kind: 'ok'; state: FinalState }
+  | { kind: 'retry' }
+  | { kind: 'changed'; record: JobRecord; stamp: Stamp };
--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -32,6 +32,8 @@
   /** When many machines were last silent together. */
   private manyAt = -Infinity;
   private silenceFrom = -Infinity;
+  /** The page to which machines of one that is too large are being moved. */
+  private moving: string | null = null;
 
   constructor(private readonly state: LeaderState) {}
 
@@ -91,9 +93,18 @@
   }
 
   onRoster(page: string, ok: boolean): void {
+    if (ok && page === this.moving) this.moving = null;
     for (const id of this.roster.written(page, ok)) {
       const m = this.state.machines.get(id);
-      if (!m || m.roster === 'durable') continue;
+      // On another page before: a durable one names it now, so that one need not any more.
+      if (m?.page && m.page !== page) this.roster.remove(m.page, id);
+      if (!m) {
+        // Gone while the page was being written.
+        this.roster.remove(page, id);
+        continue;
+      }
+      m.page = page;
+      if (m.roster === 'durable') continue;
       m.roster = 'durable';
       m.quiet = false;
       if (m.placements.size > 0) this.state.machinesToCommand.add(m);
@@ -255,34 +266,47 @@
   /** Machines that come up together share a page, since writes are few: one write for up to a page of them. */
   enroll(now: Steady): void {
     if (now - this.lastRoster < ROSTER_MS) return;
-    const again = this.roster.next('failed');
+    const { fitsRosterPage } = this.state.settings;
+    const again = this.roster.next('failed', fitsRosterPage);
     if (again) {
       this.lastRoster = now;
       this.state.effects.push({ kind: 'roster', ...again });
       return;
     }
-    const page = `${this.state.leadership.term}-${this.pages + 1}`;
     const fresh: MachineInfo[] = [];
     for (const m of this.state.machines.values()) {
       if (m.roster !== 'none' || !m.up || !m.endpointKnown || m.leaving) continue;
+      if (fresh.length > 0 && !fitsRosterPage([...fresh, m.info])) break;
       m.roster = 'writing';
-      m.page = page;
       fresh.push(m.info);
-      if (fresh.length >= this.state.settings.rosterPage) break;
     }
     if (fresh.length > 0) {
       this.lastRoster = now;
-      this.pages++;
-      this.roster.open(page, fresh);
-      this.state.effects.push({ kind: 'roster', page, machines: fresh });
+      const page = this.openPage(fresh);
+      for (const info of fresh) this.state.machines.get(info.id)!.page = page;
     }
     if (now - this.lastTidy < ROSTER_TIDY_MS) return;
     this.lastTidy = now;
-    // A name left on a page costs the next leader some waiting, nothing else: pages are tidied without haste.
+    this.tidyRoster();
+  }
+
+  private openPage(machines: MachineInfo[]): string {
+    const page = `${this.state.leadership.term}-${++this.pages}`;
+    this.roster.open(page, machines);
+    this.state.effects.push({ kind: 'roster', page, machines });
+    return page;
+  }
+
+  /** A name left on a page costs the next leader some waiting, nothing else: pages are tidied without haste. */
+  private tidyRoster(): void {
+    const { fitsRosterPage } = this.state.settings;
     for (let i = 0; i < TIDY_PAGES; i++) {
-      const stale = this.roster.next('stale');
+      const stale = this.roster.next('stale', fitsRosterPage);
       if (!stale) break;
       this.state.effects.push({ kind: 'roster', ...stale });
     }
+    if (this.moving) return;
+    const tooMany = this.roster.oversized(fitsRosterPage);
+    if (tooMany.length > 0) this.moving = this.openPage(tooMany);
   }
 }
--- a/src/core/leader/queue.ts
+++ b/src/core/leader/queue.ts
@@ -33,8 +33,9 @@
     const queue: Job[] = [];
     const blocked: Job[] = [];
     for (const job of this.state.jobs.values()) {
-      if (job.cancelled || job.finalizing || job.pendingCount === 0) continue;
-      const idleMs = job.everRan ? now - job.waitingSince : wall - job.record.submittedAt;
+      if (job.cancelled || job.finalizing || job.pendingCount === 0 || !job.ready) continue;
+      const waitedForOthers = job.spec.dependsOn.length > 0;
+      const idleMs = job.everRan || waitedForOthers ? now - job.waitingSince : wall - job.record.submittedAt;
       job.waitedLong = job.placements.size === 0 && idleMs > this.state.settings.agingS * 1000;
       if (this.state.mayBeOnSilent(job)) {
         job.reason = { why: 'task may still run on a silent machine' };
@@ -54,7 +55,7 @@
         Number(b.starving) - Number(a.starving) ||
         (a.starving ? starvingOrder(a, b) : 0) ||
         Number(b.withinGuarantee) - Number(a.withinGuarantee) ||
-        priorityRank[b.spec.priority] - priorityRank[a.spec.priority] ||
+        priorityRank[b.priority] - priorityRank[a.priority] ||
         workLeft(a) - workLeft(b) ||
         due(a) - due(b) ||
         (a.id < b.id ? -1 : 1),
@@ -89,17 +90,14 @@
    * that can, lest under overload everybody is late in turn.
    */
   private due(job: Job, wall: WallTime): number {
-    const { deadlineS, estimateS } = job.spec;
+    const { submittedAt } = job.record;
     const aims = this.finishAims.get(job.spec.class) ?? [];
-    const limits = deadlineS === null ? aims : [deadlineS, ...aims];
-    const soonest = wall + estimateS * 1000;
-    let best = Infinity;
-    for (const s of limits) {
-      const at = job.record.submittedAt + s * 1000;
-      if (at >= soonest) best = Math.min(best, at);
-    }
+    const limits = aims.map((s) => submittedAt + s * 1000);
+    if (job.dueAt !== null) limits.push(job.dueAt);
+    const soonest = wall + job.spec.estimateS * 1000;
+    const best = Math.min(...limits.filter((at) => at >= soonest));
     if (best < Infinity) return best;
-    return limits.length === 0 ? job.record.submittedAt : job.record.submittedAt + HOPELESS_MS;
+    return limits.length === 0 ? submittedAt : submittedAt + HOPELESS_MS;
   }
 
   inBackoff(job: Job, now: Steady): boolean {
--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -71,13 +71,13 @@
     for (const m of silent) {
       if (this.state.cutZones.has(m.info.zone)) continue;
       for (const { job } of m.placements.values()) {
-        if (job.cancelled || priorityRank[job.spec.priority] < priorityRank.high) continue;
+        if (job.cancelled || priorityRank[job.priority] < priorityRank.high) continue;
         const zones = lost.get(job) ?? new Map<Zone, number>();
         zones.set(m.info.zone, (zones.get(m.info.zone) ?? 0) + 1);
         lost.set(job, zones);
       }
     }
-    const wants: Want[] = [];
+    const wants: { want: Want; rank: number }[] = [];
     for (const [job, gone] of lost) {
       const zones = this.state.zonesOf(job);
       let tasks = 0;
@@ -89,14 +89,16 @@
       }
       // A gang loses all of its tasks with one of them.
       const gang = job.spec.kind === 'gang';
-      wants.push({
+      const want: Want = {
         spec: job.spec,
         tasks: gang ? job.spec.tasks : tasks,
         zones: gang ? new Map<Zone, number>() : zones,
         expected: false,
-      });
+      };
+      wants.push({ want, rank: priorityRank[job.priority] });
     }
-    return wants.sort((a, b) => priorityRank[b.spec.priority] - priorityRank[a.spec.priority]);
+    wants.sort((a, b) => b.rank - a.rank);
+    return wants.map(({ want }) => want);
   }
 
   /**
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -38,13 +38,20 @@
    * it only where the job's types, zones and kinds of machine allow, and a record's description never changes.
    */
   mayBeOnSilent(job: Job): boolean {
-    if (!job.inherited || this.unheardMachines.size === 0) return false;
+    if (!job.fromEarlierLeader || this.unheardMachines.size === 0 || this.neverStarted(job)) return false;
     return this.unheardKinds().some((m) => this.mayBeOn(job, m));
   }
 
+  /** A job that it depends on is not over, or was cancelled: no leader has started anything of it. */
+  private neverStarted(job: Job): boolean {
+    if (job.dependencyCancelled) return true;
+    for (const id of job.unfinishedDependencies) if (this.jobs.has(id)) return true;
+    return false;
+  }
+
   /** Whether an earlier leader may have started a task of the job on this machine, which has not been heard since. */
   mayBeOn(job: Job, { info, type }: Machine): boolean {
-    if (!job.inherited) return false;
+    if (!job.fromEarlierLeader || this.neverStarted(job)) return false;
     return (
       mayRunOn(job.spec, info.type, info.zone, info.spot) && (type === undefined || fits(job.spec, type))
     );
--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -41,10 +41,36 @@
     if (page?.machines.delete(id)) page.stale = true;
   }
 
+  /** Pages to be written again because machines on them are gone. */
+  private stalePages(): [string, Page][] {
+    return [...this.pages].filter(([, page]) => page.stale && !page.writing);
+  }
+
+  /**
+   * Machines on a page that has grown too large to be written again, as after the service's limit on a value was
+   * lowered: they are to be enrolled on a page of their own, and leave this one only when that is durable.
+   */
+  oversized(fits: (machines: MachineInfo[]) => boolean): MachineInfo[] {
+    for (const [, page] of this.stalePages()) {
+      const machines = [...page.machines.values()];
+      if (fits(machines)) continue;
+      const first: MachineInfo[] = [];
+      for (const machine of machines) {
+        if (!fits([...first, machine])) break;
+        first.push(machine);
+      }
+      return first;
+    }
+    return [];
+  }
+
   /** A page to be written again without the machines that are gone; an empty one is deleted. */
-  next(which: 'failed' | 'stale'): { page: string; machines: MachineInfo[] } | null {
+  next(
+    which: 'failed' | 'stale',
+    fits: (machines: MachineInfo[]) => boolean,
+  ): { page: string; machines: MachineInfo[] } | null {
     for (const [name, page] of this.pages) {
-      if (!page[which] || page.writing) continue;
+      if (!page[which] || page.writing || !fits([...page.machines.values()])) continue;
       page.stale = false;
       page.writing = true;
       return { page: name, machines: [...page.machines.values()] };
--- a/src/core/scheduler/gang-planning.ts
+++ b/src/core/scheduler/gang-planning.ts
@@ -54,7 +54,7 @@
    * work that can save, on machines that have the image, for all members whose own machine is cold.
    */
   preemptOnWarm(job: Job, tasks: number, { coldS }: GangPlan, zones: (Zone | null)[]): Victim[] | null {
-    if (coldS < WORTH_PREEMPTING_S || priorityRank[job.spec.priority] < priorityRank.high) return null;
+    if (coldS < WORTH_PREEMPTING_S || priorityRank[job.priority] < priorityRank.high) return null;
     const whom = (victim: Victim): boolean => savesWithin(victim, coldS / 2);
     return this.firstComplete(job, tasks, zones, (zone) => (counts) => {
       const free = this.selection.best(job, counts, zone);
--- a/src/core/scheduler/guarantees.ts
+++ b/src/core/scheduler/guarantees.ts
@@ -28,7 +28,7 @@
 
 /** Marks each unfinished job that fits its team's guarantee together with the team's earlier unfinished jobs. */
 export const markGuaranteed = (jobs: Iterable<Job>, teams: ReadonlyMap<Team, TeamLimits>): void => {
-  const unfinished = [...jobs].filter((job) => !job.cancelled && !job.finalizing);
+  const unfinished = [...jobs].filter((job) => !job.cancelled && !job.finalizing && job.ready);
   unfinished.sort((a, b) => a.record.submittedAt - b.record.submittedAt || (a.id < b.id ? -1 : 1));
   const needs = new Map<Team, Amounts>();
   for (const job of unfinished) {
--- a/src/core/scheduler/preemption.ts
+++ b/src/core/scheduler/preemption.ts
@@ -40,7 +40,7 @@
   /** The machine where room costs the least lower-priority work; an empty list: only wait for those leaving. */
   nominate(job: Job, zones: ZoneCounts, onlyZone: Zone | null = null): Nomination | null {
     if (this.hopeless.has(job, onlyZone)) return null;
-    const slots = this.snapshot.mayYield(job.spec.priority);
+    const slots = this.snapshot.mayYield(job.priority);
     this.snapshot.work += slots.length;
     let best: Nomination | null = null;
     for (const slot of slots) {
@@ -59,7 +59,7 @@
     whom: (victim: Victim) => boolean,
     onlyZone: Zone | null,
   ): Nomination | null {
-    const slots = this.snapshot.mayYield(job.spec.priority);
+    const slots = this.snapshot.mayYield(job.priority);
     this.snapshot.work += slots.length;
     let best: Nomination | null = null;
     for (const slot of slots) {
--- a/src/core/scheduler/rules.ts
+++ b/src/core/scheduler/rules.ts
@@ -1,5 +1,5 @@
 // Where a task may run at all: what the filter asks, and what placement rules every leader has kept.
-import type { Amounts, JobSpec, TeamLimits } from '../types.js';
+import type { Amounts, JobSpec, Priority, TeamLimits } from '../types.js';
 import type { Zone } from '../units.js';
 
 export const mayRunOn = (spec: JobSpec, type: string, zone: Zone, spot: boolean): boolean =>
@@ -22,5 +22,5 @@
 };
 
 /** Tasks with the same signature get the same answer from the filter, so a failure is asked for once a cycle. */
-export const signature = (s: JobSpec): string =>
-  `${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types?.join(',') ?? ''}|${s.zone ?? ''}|${s.spot}|${s.priority}`;
+export const signature = ({ spec: s, priority }: { spec: JobSpec; priority: Priority }): string =>
+  `${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types?.join(',') ?? ''}|${s.zone ?? ''}|${s.spot}|${priority}`;
--- a/src/core/scheduler/selection.ts
+++ b/src/core/scheduler/selection.ts
@@ -33,7 +33,7 @@
 
   private signature(job: Job): string {
     let sig = this.signatures.get(job);
-    if (sig === undefined) this.signatures.set(job, (sig = signature(job.spec)));
+    if (sig === undefined) this.signatures.set(job, (sig = signature(job)));
     return sig;
   }
 
--- a/src/core/scheduler/snapshot.ts
+++ b/src/core/scheduler/snapshot.ts
@@ -2,7 +2,7 @@
 // assumed on them in this cycle.
 import { add, fits, type Machine } from '../cluster.js';
 import type { Job, Placement } from '../job.js';
-import { priorityRank, type Amounts, type TeamLimits } from '../types.js';
+import { priorityRank, type Amounts, type Priority, type TeamLimits } from '../types.js';
 import type { MachineId, Team, WallTime, Zone } from '../units.js';
 import { GuaranteeAccounts } from './guarantees.js';
 import { mayRunOn, withinLimit } from './rules.js';
@@ -158,7 +158,7 @@
   }
 
   /** Machines where something is leaving, or where work of lower priority may be stopped. */
-  mayYield(priority: Job['spec']['priority']): Slot[] {
+  mayYield(priority: Priority): Slot[] {
     const rank = priorityRank[priority];
     let slots = this.stoppable[rank];
     if (!slots) {
--- a/src/core/scheduler/victims.ts
+++ b/src/core/scheduler/victims.ts
@@ -44,19 +44,19 @@
 
 /** Rises as the time left beyond the task's own run shrinks; nothing for a job that is late whatever happens. */
 const deadlineLossS = (victim: Victim, { now, wall }: CycleTime): number => {
-  const { record, spec } = victim.job;
-  if (spec.deadlineS === null) return 0;
-  const dueInS = spec.deadlineS - (wall - record.submittedAt) / 1000;
+  const { dueAt, spec } = victim.job;
+  if (dueAt === null) return 0;
+  const dueInS = (dueAt - wall) / 1000;
   const slackS = dueInS - Math.max(spec.estimateS - ranS(victim, now), 0);
   return slackS < 0 ? 0 : WORTH_IN_TIME_S * Math.min(1, STOP_DELAYS_S / Math.max(slackS, 1));
 };
 
 /** Seconds of work that stopping loses, with lower priorities well before higher ones. */
 const lossOf = (victim: Victim, time: CycleTime): number => {
-  const { checkpointS, saveS, priority } = victim.job.spec;
+  const { checkpointS, saveS } = victim.job.spec;
   const ran = ranS(victim, time.now);
   const lost = checkpointS > 0 ? Math.min(ran, saveS) : ran;
-  return lost + deadlineLossS(victim, time) + 1000 * priorityRank[priority];
+  return lost + deadlineLossS(victim, time) + 1000 * priorityRank[victim.job.priority];
 };
 
 interface Candidate extends Victim {
@@ -88,7 +88,7 @@
   const room = { ...slot.free };
   add(room, slot.releasing);
   if (fits(job.spec, room)) return { list: [], cost: 0 };
-  const rank = priorityRank[job.spec.priority];
+  const rank = priorityRank[job.priority];
   // Most machines hold too little that may be stopped: told by sums, without looking at their tasks.
   const most = slot.below[rank];
   if (!most) return null;
@@ -97,7 +97,7 @@
   add(room, most, -1);
   const candidates: Candidate[] = [];
   for (const c of slot.machine.placements.values()) {
-    if (priorityRank[c.job.spec.priority] >= rank) continue;
+    if (priorityRank[c.job.priority] >= rank) continue;
     if (c.placement.unpreemptible || c.placement.stop || !whom(c)) continue;
     candidates.push({ ...c, loss: lossOf(c, time) });
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -40,6 +40,8 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Jobs that have to be done before any task of this one starts. */
+  dependsOn: JobId[];
 }
 
 /** The one record that a job has in the state service while it is active. */
--- a/src/core/units.ts
+++ b/src/core/units.ts
@@ -16,6 +16,8 @@
 export type WallTime = Branded<number, 'WallTime'>;
 /** Rising number of a leadership; doubles as the workers' token. */
 export type Term = Branded<number, 'Term'>;
+/** Names a part of a job's completions in the state service. */
+export type SegmentName = Branded<string, 'SegmentName'>;
 export type Attempt = Branded<number, 'Attempt'>;
 /** Outside counters go up to 2^64: numbers while safe, bigints beyond. `<` and `>` compare both. */
 export type Counter = number | bigint;
--- a/src/runtime/cancellation-feed.ts
+++ b/src/runtime/cancellation-feed.ts
@@ -1,4 +1,5 @@
-// Keeps the log of cancelled jobs up to date: from the state service, from peers, and from what we confirm ourselves.
+// Keeps the log of cancelled jobs up to date, from the state service, from peers, and from what we confirm ourselves; and
+// with it an index of the unfinished jobs, from the same reads of the state service.
 import { randomBytes } from 'node:crypto';
 import type { Logger } from './logger.js';
 import type { PeerLink } from './peer-link.js';
@@ -12,21 +13,27 @@
   type LogPosition,
   type LogPage,
 } from '../core/cancellations.js';
+import { JobIndex, type IndexedJob } from '../core/job-index.js';
 import type { Counter, JobId, NodeName, Steady } from '../core/units.js';
 import { parseCancelledJobs } from '../wire/peers.js';
-import { keys, saysCancelled } from '../wire/state.js';
+import { dependenciesIn, keys, saysCancelled } from '../wire/state.js';
 
 const steady = (): Steady => performance.now() as Steady;
 const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 const POLL_MS = 1000;
 const PUSH_TIMEOUT_MS = 1000;
+/** What is known of jobs is taken for present for this part of `cancel_s`: users see a cancellation in time. */
+const FRESH_CANCELS = 0.25;
 
 /** 'none': no answer; 'too old': what has changed since is not kept any more. */
-type Read = { ledger: Counter; jobs: JobId[] } | 'none' | 'too old';
+type Read = { ledger: Counter; cancelled: JobId[] } | 'none' | 'too old';
 
 export class CancellationFeed {
   private readonly log: Cancellations;
   private readonly windowMs: number;
+  private readonly freshMs: number;
+  private readonly index = new JobIndex();
+  private indexReadAt = -Infinity;
 
   constructor(
     platform: Platform,
@@ -41,6 +48,7 @@
       platform.peers.map((p) => p.name),
       keptMs(cancelS),
     );
+    this.freshMs = cancelS * 1000 * FRESH_CANCELS;
     this.windowMs = renewalWindowMs(cancelS, leaseS);
   }
 
@@ -52,6 +60,17 @@
     return this.log.has(job);
   }
 
+  /** What is known of an unfinished job; undefined also for one accepted a moment ago. */
+  indexed(job: JobId): IndexedJob | undefined {
+    return this.index.get(job);
+  }
+
+  /** Every cancellation is known that was confirmed longer than a part of `cancel_s` ago. */
+  isFresh(): boolean {
+    const now = steady();
+    return now - Math.min(this.indexReadAt, this.log.provenUntil(now)) <= this.freshMs;
+  }
+
   learned(job: JobId): Steady | undefined {
     return this.log.learned(job);
   }
@@ -121,8 +140,9 @@
         if (r === 'too old') since = null;
       } else {
         since = r.ledger;
-        this.take(r.jobs);
+        this.take(r.cancelled);
         this.log.stateRead(askedAt);
+        this.indexReadAt = askedAt;
       }
       await sleep(Math.max(0, askedAt + POLL_MS - steady()));
     }
@@ -131,16 +151,28 @@
   private async readAll(): Promise<Read> {
     const r = await this.state.list(keys.activePrefix);
     if (r.kind !== 'ok') return 'none';
-    return { ledger: r.value.ledger, jobs: cancelledIn(r.value.items) };
+    this.index.clear();
+    const cancelled = r.value.items.filter((item) => this.record(item.key, item.data));
+    return { ledger: r.value.ledger, cancelled: cancelled.map((item) => jobOf(item.key)) };
   }
 
   private async readSince(since: Counter): Promise<Read> {
     const r = await this.state.changes(keys.activePrefix, since);
     if (r.kind !== 'ok') return r.kind === 'gone' ? 'too old' : 'none';
-    const puts = r.value.log.flatMap((e) => ('put' in e ? [{ key: e.put, data: e.data }] : []));
-    return { ledger: r.value.ledger, jobs: cancelledIn(puts) };
+    const cancelled: JobId[] = [];
+    for (const change of r.value.log) {
+      if ('delete' in change) this.index.remove(jobOf(change.delete));
+      else if (this.record(change.put, change.data)) cancelled.push(jobOf(change.put));
+    }
+    return { ledger: r.value.ledger, cancelled };
+  }
+
+  /** Whether the record says that its job is cancelled. */
+  private record(key: string, data: unknown): boolean {
+    const cancelled = saysCancelled(data);
+    this.index.put(jobOf(key), dependenciesIn(data), cancelled);
+    return cancelled;
   }
 }
 
-const cancelledIn = (items: { key: string; data: unknown }[]): JobId[] =>
-  items.filter((i) => saysCancelled(i.data)).map((i) => i.key.slice(keys.activePrefix.length) as JobId);
+const jobOf = (key: string): JobId => key.slice(keys.activePrefix.length) as JobId;
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -12,26 +12,24 @@
 import { ImageLocationStore } from './image-locations.js';
 import { LeaderLoop } from './leader-loop.js';
 import { Logger } from './logger.js';
+import { MachineTypes } from './machine-types.js';
 import { Membership } from './membership.js';
 import { OverdueFences } from './overdue-fences.js';
 import { PeerHandler } from './peer-handler.js';
 import { PeerLink, answerPeer } from './peer-link.js';
 import { STATUS_CONNECTIONS, socketBudget } from './sockets.js';
-import { StateClient, reserves } from './state-client.js';
+import { StateClient } from './state-client.js';
 import { UserApi } from './user-api.js';
 import type { Operator } from '../config/operator.js';
 import { platformWarnings, type Address, type Platform } from '../config/platform.js';
 import { highestTerm } from '../core/election.js';
-import type { MachineType } from '../core/types.js';
 import type { JobId, NodeName, Steady } from '../core/units.js';
 import { encode } from '../wire/cbor.js';
 import type { PeerResponses, PeerStatus, TaskCounts } from '../wire/peer-messages.js';
-import { keys, parseStoredTypes } from '../wire/state.js';
 
 const STATE_FRESH_MS = 2500;
 const MAX_USER_REQUESTS = 32;
 const RESERVED_USER_REQUESTS = 8;
-const TYPES_REFRESH_MS = 30_000;
 const USER_FORWARD_TIMEOUT_MS = 2000;
 const USERS_LOG_MS = 10_000;
 const IMAGE_LOCATIONS_MS = 1000;
@@ -48,7 +46,6 @@
     ...(retryAfterS === null ? {} : { retryAfterS }),
   };
 };
-const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
 
 export class Controller {
   private readonly log: Logger;
@@ -65,7 +62,7 @@
   private loop: LeaderLoop | null = null;
   private readonly userOutcomes = new Map<string, number>();
   private usersLoggedAt = -Infinity;
-  private types: MachineType[] = [];
+  private readonly types: MachineTypes;
   private readonly imageLocations = new ImageLocationStore();
   private readonly admission = new Admission(MAX_USER_REQUESTS, RESERVED_USER_REQUESTS);
   private readonly times = { user: createHistogram(), report: createHistogram() };
@@ -87,6 +84,9 @@
       // just restarted: without it, its workers would lose their leases for want of an answer.
       onLeaderKey: () => this.reportHandler.noteLeaderSeen(operator.leaseMs),
     });
+    this.types = new MachineTypes(platform.stateLimits, this.cloud, this.state, this.membership, (types) =>
+      this.loop?.setTypes(types),
+    );
     this.cancelled = new CancellationFeed(platform, this.state, this.links, this.log, (jobs) =>
       this.loop?.learnCancelled(jobs),
     );
@@ -98,9 +98,10 @@
     this.users = new UserApi(
       platform,
       this.state,
-      () => this.types,
+      () => this.types.current,
       (id) => this.counts(id),
       (id) => this.cancelled.confirming(id),
+      this.cancelled,
     );
     this.reportHandler = new ReportHandler(
       platform,
@@ -156,7 +157,7 @@
     this.membership.start();
     this.cancelled.start();
     setInterval(() => void this.fences.check(), FENCE_CHECK_MS);
-    void this.keepTypes();
+    this.types.start();
     setInterval(() => this.shareImageLocations(), IMAGE_LOCATIONS_MS);
     setInterval(() => this.checkHearing(), 500);
     for (const warning of platformWarnings(this.platform)) this.log.info({ warning }, 'settings');
@@ -251,7 +252,7 @@
 
   /** While the state service is down for everybody, leaving the load balancer would only delay the return. */
   private healthy(): boolean {
-    if (this.types.length === 0) return false;
+    if (this.types.current.length === 0) return false;
     if (this.stateOk()) return true;
     const now = performance.now();
     const reached = this.links.filter((l) => l.alive(now));
@@ -364,7 +365,7 @@
       cloud,
       log,
       random,
-      () => this.types,
+      () => this.types.current,
       this.imageLocations.all(),
       this.sockets.orders,
       this.cancelled,
@@ -378,37 +379,4 @@
     this.loop = null;
     this.state.setShare(this.followerShare());
   }
-
-  /** Machine types: from the cloud, or while it doesn't answer, from what a leader has kept. */
-  private async keepTypes(): Promise<void> {
-    for (;;) {
-      if (this.types.length === 0) {
-        const kept = await this.state.get(keys.types, reserves.urgent);
-        if (kept.kind === 'ok' && this.types.length === 0)
-          this.setTypes(parseStoredTypes(kept.value.data) ?? []);
-      }
-      if (this.types.length === 0 || this.membership.holdsLease) {
-        const fresh = await this.cloud.types();
-        if (fresh && fresh.length > 0) {
-          this.setTypes(fresh);
-          await this.storeTypes(fresh);
-        }
-      }
-      await sleep(this.types.length === 0 ? 700 : TYPES_REFRESH_MS);
-    }
-  }
-
-  private setTypes(types: MachineType[]): void {
-    this.types = types;
-    this.loop?.setTypes(types);
-  }
-
-  private async storeTypes(types: MachineType[]): Promise<void> {
-    const held = this.membership.election.held;
-    if (!held) return;
-    await this.state.transact({
-      if: [{ key: keys.leader, stamp: held.keyStamp }],
-      then: [{ put: keys.types, data: types }],
-    });
-  }
 }
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -9,8 +9,8 @@
 import type { Platform } from '../config/platform.js';
 import type { Operator } from '../config/operator.js';
 import { Leader, type Effect, type ImageLocations } from '../core/leader.js';
-import type { MachineType, Report, UnchangedReport } from '../core/types.js';
-import type { Counter, JobId, MachineId, Steady, WallTime } from '../core/units.js';
+import type { FinalState, MachineType, Report, UnchangedReport } from '../core/types.js';
+import type { Counter, JobId, MachineId, SegmentName, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import * as wire from '../wire/state.js';
 import { ordersBody, parseReport } from '../wire/workers.js';
@@ -28,6 +28,7 @@
 const CYCLE_WORK_OF_A_CORE = 600_000;
 const LEAST_CYCLE_WORK = 30_000;
 const TICK_LOG_MS = 10_000;
+const DELETE_RETRY_MS = 2000;
 
 export class LeaderLoop {
   private leader: Leader | null = null;
@@ -84,7 +85,8 @@
         headroom: this.operator.headroom,
         listLagS: this.platform.cloudLimits.listLagS,
         agingS: this.operator.agingS,
-        rosterPage: wire.rosterPage(this.platform.stateLimits.valueKb),
+        fitsRosterPage: (machines) => wire.fitsRosterPage(machines, this.platform.stateLimits.valueKb),
+        segmentBytes: wire.segmentBytes(this.platform.stateLimits.valueKb),
         cycleWork: Math.max(LEAST_CYCLE_WORK, this.platform.limits.cpu * CYCLE_WORK_OF_A_CORE),
         random: this.random,
       },
@@ -106,11 +108,15 @@
     leader.loadImageLocations(this.imageLocations);
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
     for (const item of progress.items) {
-      const [, id, chunk] = item.key.split('/');
+      const [, id, segment] = item.key.split('/');
       this.progressStore.loaded(item.key, item.stamp);
       const bits = wire.parseProgress(item.data);
-      if (bits !== null) leader.loadProgress(id as JobId, Number(chunk), Buffer.from(bits, 'base64'));
+      if (bits !== null)
+        leader.loadProgress(id as JobId, segment as SegmentName, Buffer.from(bits, 'base64'));
     }
+    // Jobs were read before: only a leader writes progress, so these belong to jobs that are over.
+    const orphans = progress.items.filter((item) => !leader.jobs.has(item.key.split('/')[1] as JobId));
+    void this.deleteKeys(orphans.map((item) => item.key));
     this.leader = leader;
     this.ledSince = steady();
     this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
@@ -170,11 +176,11 @@
     return null;
   }
 
-  private learn(leader: Leader, key: string, data: unknown, stamp: Counter, inherited: boolean): void {
+  private learn(leader: Leader, key: string, data: unknown, stamp: Counter, earlier: boolean): void {
     const record = wire.parseJobRecord(data);
     const id = key.slice(wire.keys.activePrefix.length) as JobId;
     if (record) {
-      leader.learnJob(id, record, stamp, inherited, steady(), wall());
+      leader.learnJob(id, record, stamp, earlier, steady(), wall());
       if (this.cancelled.has(id)) leader.learnCancelled(id, steady());
     } else this.log.error({ key }, 'damaged job record, not placed');
   }
@@ -262,6 +268,9 @@
       case 'finish':
         void this.finish(leader, e);
         return;
+      case 'lookup':
+        void this.lookUp(leader, e.job);
+        return;
       case 'progress':
         void this.progress(leader, e);
         return;
@@ -299,20 +308,20 @@
 
   private async finish(leader: Leader, e: Extract<Effect, { kind: 'finish' }>): Promise<void> {
     const { keys } = wire;
+    const atOnce = Math.max(0, this.platform.stateLimits.txnOps - 2);
     const r = await this.write(
       [
         { put: keys.final(e.job), data: wire.finalData(e) },
         { delete: keys.active(e.job) },
-        ...e.chunks
-          .slice(0, this.platform.stateLimits.txnOps - 2)
-          .map((c) => ({ delete: keys.progress(e.job, c) })),
+        ...e.segments.slice(0, atOnce).map((s) => ({ delete: keys.progress(e.job, s) })),
       ],
       [{ key: keys.active(e.job), stamp: e.stamp }],
     );
     if (this.ended) return;
     if (r.kind === 'ok') {
-      this.progressStore.drop(e.job, e.chunks);
-      leader.onFinished(e.job, { kind: 'ok' }, steady());
+      this.progressStore.drop(e.job, e.segments);
+      void this.deleteKeys(e.segments.slice(atOnce).map((s) => keys.progress(e.job, s)));
+      leader.onFinished(e.job, { kind: 'ok', state: e.state }, steady());
       this.soon();
     } else if (r.kind === 'conflict') {
       await this.reread(leader, e.job);
@@ -321,6 +330,20 @@
     }
   }
 
+  /** Records that nothing refers to any more, without haste; what is left when this process ends, the next one finds. */
+  private async deleteKeys(left: string[]): Promise<void> {
+    while (left.length > 0 && !this.ended) {
+      const some = left.slice(0, this.platform.stateLimits.txnOps);
+      const r = await this.write(
+        some.map((key) => ({ delete: key })),
+        [],
+        reserves.normal,
+      );
+      if (r.kind === 'ok') left = left.slice(some.length);
+      else await sleep(DELETE_RETRY_MS);
+    }
+  }
+
   /** The record changed under us: a cancellation came first, or our own lost write was carried out. */
   private async reread(leader: Leader, job: JobId): Promise<void> {
     const active = await this.state.get(wire.keys.active(job), reserves.urgent);
@@ -329,14 +352,26 @@
       leader.onFinished(job, { kind: 'changed', record, stamp: active.value.stamp }, steady());
       return;
     }
-    const final = active.kind === 'gone' ? await this.state.get(wire.keys.final(job), reserves.urgent) : null;
-    leader.onFinished(job, { kind: final?.kind === 'ok' ? 'ok' : 'retry' }, steady());
+    const final = active.kind === 'gone' ? await this.readFinal(job) : null;
+    leader.onFinished(job, final === null ? { kind: 'retry' } : { kind: 'ok', state: final }, steady());
+  }
+
+  private async readFinal(job: JobId): Promise<FinalState | null> {
+    const final = await this.state.get(wire.keys.final(job), reserves.urgent);
+    return final.kind === 'ok' ? (wire.parseFinal(final.value.data)?.state ?? null) : null;
+  }
+
+  private async lookUp(leader: Leader, job: JobId): Promise<void> {
+    const final = await this.readFinal(job);
+    if (this.ended) return;
+    leader.onLookup(job, final, steady());
+    this.soon();
   }
 
   private async progress(leader: Leader, e: Extract<Effect, { kind: 'progress' }>): Promise<void> {
-    const r = await this.progressStore.put(e.job, e.chunk, e.bytes);
-    if (r.kind === 'changed') leader.loadProgress(e.job, e.chunk, r.bytes);
-    leader.onProgress(e.job, e.chunk, e.bytes, r.kind === 'ok');
+    const r = await this.progressStore.put(e.job, e.segment, e.bytes);
+    if (r.kind === 'changed') leader.loadProgress(e.job, e.segment, r.bytes);
+    leader.onProgress(e.job, e.segment, e.bytes, r.kind === 'ok');
   }
 
   private async writeRoster(leader: Leader, e: Extract<Effect, { kind: 'roster' }>): Promise<void> {
--- a/src/runtime/progress-store.ts
+++ b/src/runtime/progress-store.ts
@@ -1,6 +1,6 @@
-// Completions of jobs under way, kept in the state service a chunk at a time.
+// Completions of jobs under way, kept in the state service a segment at a time.
 import type { Outcome, TxnOutcome } from './state-client.js';
-import type { JobId, Stamp } from '../core/units.js';
+import type { JobId, SegmentName, Stamp } from '../core/units.js';
 import * as wire from '../wire/state.js';
 
 type Write = (then: wire.Change[], conditions: wire.Condition[]) => Promise<TxnOutcome>;
@@ -28,14 +28,14 @@
     this.stamps.set(key, stamp);
   }
 
-  /** The job is over, and its chunks with it. */
-  drop(job: JobId, chunks: number[]): void {
-    for (const chunk of chunks) this.stamps.delete(wire.keys.progress(job, chunk));
+  /** The job is over, and its segments with it. */
+  drop(job: JobId, segments: SegmentName[]): void {
+    for (const segment of segments) this.stamps.delete(wire.keys.progress(job, segment));
   }
 
-  async put(job: JobId, chunk: number, bytes: Uint8Array): Promise<ProgressOutcome> {
-    const key = wire.keys.progress(job, chunk);
-    const data = { bits: Buffer.from(bytes).toString('base64') };
+  async put(job: JobId, segment: SegmentName, bytes: Uint8Array): Promise<ProgressOutcome> {
+    const key = wire.keys.progress(job, segment);
+    const data = wire.progressData(bytes);
     const r = await this.write([{ put: key, data }], [{ key, stamp: this.stamps.get(key) ?? 0 }]);
     if (r.kind === 'ok') {
       this.stamps.set(key, r.stamp);
--- a/src/runtime/state-client.ts
+++ b/src/runtime/state-client.ts
@@ -14,6 +14,8 @@
   | { kind: 'ok'; stamp: Stamp }
   | { kind: 'conflict'; failed: string[] }
   | { kind: 'lease-gone' }
+  /** Never carried out, and never will be in this form: too large, too many changes. */
+  | { kind: 'invalid' }
   | { kind: 'refused' }
   | { kind: 'unknown' };
 
@@ -131,7 +133,7 @@
       this.lastAnswerAt = performance.now();
       return { kind: 'conflict', failed: wire.parseConflict(body)?.failed ?? [] };
     }
-    if (r.status === 400) return { kind: 'lease-gone' };
+    if (r.status === 400) return { kind: wire.saysLeaseGone(body) ? 'lease-gone' : 'invalid' };
     return { kind: 'refused' };
   }
 
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -2,26 +2,20 @@
 // is told to a user that it doesn't hold.
 import type { HttpMessage } from './http-parser.js';
 import type { HttpReply } from './http-server.js';
+import { JobLookup, type KnownJobs, type Lookup } from './job-lookup.js';
 import { reserves, type StateClient } from './state-client.js';
 import type { Platform } from '../config/platform.js';
 import { withinLimit } from '../core/scheduler/rules.js';
 import { canBeSpread, fitsSomeType } from '../core/scaling.js';
-import type { FinalRecord, JobRecord, JobSpec, MachineType, TeamLimits } from '../core/types.js';
-import type { JobId, Stamp, Team, WallTime } from '../core/units.js';
+import type { JobRecord, JobSpec, MachineType, TeamLimits } from '../core/types.js';
+import type { JobId, Team, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
-import { keys, parseFinal, parseJobRecord } from '../wire/state.js';
+import { fitsValue, jobRecordData, keys } from '../wire/state.js';
 import { isJobId, parseJob, statusBody, type UserStatus } from '../wire/users.js';
 
-const FINALS_KEPT = 20_000;
 const RETRY_S = 1;
-
-type Lookup =
-  | { kind: 'active'; record: JobRecord; stamp: Stamp }
-  | { kind: 'final'; record: FinalRecord }
-  /** A record that can't be read: its job was accepted, and nothing else is known of it. */
-  | { kind: 'damaged' }
-  | { kind: 'none' }
-  | { kind: 'undecided' };
+/** Of a write that meets others of the same record. */
+const MAX_TRIES = 3;
 
 const busy = (cause: string): HttpReply => ({
   status: 503,
@@ -33,8 +27,7 @@
 const good = (body: unknown, status = 200): HttpReply => ({ status, body: encode(body) });
 
 export class UserApi {
-  /** Final states never change, so they alone may be answered from memory. */
-  private readonly finals = new Map<JobId, FinalRecord>();
+  private readonly jobs: JobLookup;
   private readonly teams: Map<Team, TeamLimits>;
 
   constructor(
@@ -44,7 +37,9 @@
     private readonly counts: (id: JobId) => Promise<{ done: number; running: number } | null>,
     /** A user is about to be told that this job, whose tasks may still be there, is cancelled. */
     private readonly confirming: (id: JobId) => void,
+    known: KnownJobs,
   ) {
+    this.jobs = new JobLookup(state, known);
     this.teams = new Map(platform.teams.map((t) => [t.name, t]));
   }
 
@@ -71,32 +66,45 @@
     const never = this.canNeverRun(spec);
     if (never === 'undecided') return busy('machine types not known yet');
     if (never !== null) return this.unlessKnown(raw, bad(422, never));
-    const final = this.finals.get(spec.id);
+    const final = this.jobs.remembered(spec.id);
     if (final) return good(statusBody(spec.id, final.state));
+    const refusal = await this.refuseDependencies(spec);
+    if (refusal) return refusal.status === 422 ? this.unlessKnown(raw, refusal) : refusal;
     const record: JobRecord = { spec, submittedAt: Date.now() as WallTime, cancelledAt: null };
-    const data = encode(record);
-    if (data.length * 1.5 > this.platform.stateLimits.valueKb * 1024)
-      return bad(400, 'job description too large');
+    const largest = jobRecordData({ ...record, cancelledAt: record.submittedAt });
+    if (!fitsValue(largest, this.platform.stateLimits.valueKb))
+      return this.unlessKnown(raw, bad(400, 'job description too large'));
     const r = await this.state.transact({
       if: [
         { key: keys.active(spec.id), stamp: 0 },
         { key: keys.final(spec.id), stamp: 0 },
       ],
-      then: [{ put: keys.active(spec.id), data: record }],
+      then: [{ put: keys.active(spec.id), data: jobRecordData(record) }],
     });
     if (r.kind === 'ok') return good(statusBody(spec.id, 'pending'), 201);
-    if (r.kind === 'refused' || r.kind === 'lease-gone') return busy('state service refuses');
+    if (r.kind === 'refused' || r.kind === 'lease-gone' || r.kind === 'invalid')
+      return busy('state service refuses');
     // Known already, or the answer was lost: what is recorded decides.
-    const known = await this.lookup(spec.id);
+    const known = await this.jobs.find(spec.id);
     if (known.kind === 'none' || known.kind === 'undecided') return busy('not certain to be recorded');
     return this.describe(spec.id, known);
   }
 
+  /** Null if every job that the job depends on was accepted. */
+  private async refuseDependencies({ id, dependsOn }: JobSpec): Promise<HttpReply | null> {
+    if (dependsOn.length === 0) return null;
+    if (dependsOn.includes(id)) return bad(422, 'awaits itself');
+    const accepted = await this.jobs.allAccepted(dependsOn);
+    if (accepted === 'yes') return null;
+    if (accepted === 'undecided') return busy('state service does not answer');
+    return bad(422, `awaits ${accepted.missing}, which was never accepted`);
+  }
+
   /** An accepted job is never refused when it is submitted again, whatever has changed since. */
   private async unlessKnown(raw: object, refusal: HttpReply): Promise<HttpReply> {
     const id = (raw as { nameId?: unknown }).nameId;
     if (typeof id !== 'string' || !isJobId(id)) return refusal;
-    const known = await this.lookup(id);
+    const known = await this.jobs.find(id);
     if (known.kind === 'undecided') return busy('state service does not answer');
     return known.kind === 'none' ? refusal : this.describe(id, known);
   }
@@ -115,7 +123,7 @@
   }
 
   private async status(id: JobId): Promise<HttpReply> {
-    const found = await this.lookup(id);
+    const found = await this.jobs.find(id);
     if (found.kind === 'none') return bad(404, 'no such job');
     if (found.kind === 'undecided') return busy('state service does not answer');
     return this.describe(id, found);
@@ -129,54 +137,55 @@
     if (found.kind === 'damaged') return good(statusBody(id, 'pending', { done: 0, running: 0 }));
     if (found.kind !== 'active') return busy('not certain');
     if (found.record.cancelledAt !== null) return this.describeCancelled(id);
+    const cancelled = await this.jobs.dependencyCancelled(found.record.spec.dependsOn);
+    if (cancelled === 'undecided') return busy('state service does not answer');
+    // Recorded before it is told, so that no controller answers anything older afterwards.
+    if (cancelled) return this.recordCancelled(id, found);
     const counts = (await this.counts(id)) ?? { done: 0, running: 0 };
     const status: UserStatus = counts.running > 0 ? 'running' : 'pending';
     return good(statusBody(id, status, counts));
   }
 
   private async abort(id: JobId): Promise<HttpReply> {
-    for (let tries = 0; tries < 3; tries++) {
-      const found = await this.lookup(id);
-      if (found.kind === 'none') return bad(404, 'no such job');
-      if (found.kind === 'undecided' || found.kind === 'damaged') return busy('not certain');
+    const found = await this.jobs.find(id);
+    if (found.kind === 'none') return bad(404, 'no such job');
+    return this.recordCancelled(id, found);
+  }
+
+  /** Done against cancelled is decided here: whoever writes either compares the job's record. */
+  private async recordCancelled(id: JobId, first: Lookup): Promise<HttpReply> {
+    let found = first;
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
       if (found.kind === 'final') return good(statusBody(id, found.record.state));
+      if (found.kind !== 'active') return busy('not certain');
       if (found.record.cancelledAt !== null) return this.describeCancelled(id);
-      // Done against cancelled is decided here: both compare the job's record.
-      const record: JobRecord = { ...found.record, cancelledAt: Date.now() as WallTime };
+      const record = this.cancelledRecord(found.record);
       const r = await this.state.transact(
         {
           if: [{ key: keys.active(id), stamp: found.stamp }],
-          then: [{ put: keys.active(id), data: record }],
+          then: [{ put: keys.active(id), data: jobRecordData(record) }],
         },
         reserves.urgent,
       );
       if (r.kind === 'ok') return this.describeCancelled(id);
-      if (r.kind === 'refused') return busy('state service refuses');
+      if (r.kind === 'refused' || r.kind === 'invalid') return busy('state service refuses');
+      found = await this.jobs.find(id);
     }
     return busy('not certain to be recorded');
   }
 
+  /**
+   * Guards against a record from before a limit on values was lowered, which could not be written again: a cancelled job
+   * starts nowhere any more, so the list of its types, alone of unbounded length, may go.
+   */
+  private cancelledRecord(record: JobRecord): JobRecord {
+    const cancelled = { ...record, cancelledAt: Date.now() as WallTime };
+    if (fitsValue(cancelled, this.platform.stateLimits.valueKb)) return cancelled;
+    return { ...cancelled, spec: { ...record.spec, types: null } };
+  }
+
   private describeCancelled(id: JobId): HttpReply {
     this.confirming(id);
     return good(statusBody(id, 'cancelled', { done: 0, running: 0 }));
   }
-
-  /** Active first, then final: a job that finishes between the two reads is found by the second. */
-  private async lookup(id: JobId): Promise<Lookup> {
-    const kept = this.finals.get(id);
-    if (kept) return { kind: 'final', record: kept };
-    const active = await this.state.get(keys.active(id));
-    if (active.kind === 'ok') {
-      const record = parseJobRecord(active.value.data);
-      return record ? { kind: 'active', record, stamp: active.value.stamp } : { kind: 'damaged' };
-    }
-    if (active.kind !== 'gone') return { kind: 'undecided' };
-    const final = await this.state.get(keys.final(id));
-    if (final.kind === 'gone') return { kind: 'none' };
-    const record = final.kind === 'ok' ? parseFinal(final.value.data) : null;
-    if (!record) return { kind: 'undecided' };
-    if (this.finals.size >= FINALS_KEPT) this.finals.delete(this.finals.keys().next().value!);
-    this.finals.set(id, record);
-    return { kind: 'final', record };
-  }
 }
--- a/src/test/checker.test.ts
+++ b/src/test/checker.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Checker } from './sim/checker.js';
-import { Day, jobSpec, teams } from './sim/day.js';
+import { Day } from './sim/day.js';
+import { jobSpec, teams } from './sim/fixtures.js';
 import { Leader } from '../core/leader.js';
 import type { Command, JobSpec, MachineInfo, Report } from '../core/types.js';
 import type { Endpoint, JobId, MachineId, Steady, Team, TypeName, Zone } from '../core/units.js';
--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Day, jobSpec } from './sim/day.js';
+import { Day } from './sim/day.js';
+import { jobSpec } from './sim/fixtures.js';
 import { matchTrace } from './trace.js';
 import { Leader } from '../core/leader.js';
 import type { JobId, MachineId, Steady, Team, WallTime, Zone } from '../core/units.js';
--- a/src/test/four-zones.test.ts
+++ b/src/test/four-zones.test.ts
@@ -1,7 +1,7 @@
 // Four zones and three controllers: one zone has none. Machines are up before the first leader starts.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { types } from './sim/day.js';
+import { types } from './sim/fixtures.js';
 import { playDay, playMeeting, type Meeting } from './sim/meeting.js';
 import type { Setup } from './sim/service.js';
 import type { TeamLimits } from '../core/types.js';
--- a/src/test/guarantees.test.ts
+++ b/src/test/guarantees.test.ts
@@ -4,7 +4,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { cycle, job, machine, put, show } from './sim/cycle.js';
-import { types } from './sim/day.js';
+import { types } from './sim/fixtures.js';
 import { playDay, type Meeting } from './sim/meeting.js';
 import type { Setup } from './sim/service.js';
 import { markGuaranteed } from '../core/scheduler/guarantees.js';
--- a/src/test/parted-zones.test.ts
+++ b/src/test/parted-zones.test.ts
@@ -2,7 +2,7 @@
 // virtual time.
 import assert from 'node:assert/strict';
 import { test, type TestContext } from 'node:test';
-import { types } from './sim/day.js';
+import { types } from './sim/fixtures.js';
 import { playDay, type Meeting } from './sim/meeting.js';
 import type { Trouble } from './sim/network.js';
 import type { Setup } from './sim/service.js';
--- a/src/test/queue.test.ts
+++ b/src/test/queue.test.ts
@@ -6,7 +6,7 @@
 import { LeaderState } from '../core/leader/state.js';
 import type { JobSpec } from '../core/types.js';
 import type { Stamp, Steady, Term, WallTime } from '../core/units.js';
-import { jobSpec } from './sim/day.js';
+import { jobSpec } from './sim/fixtures.js';
 
 /** The order of the queue at a time when the first job has waited so many seconds. */
 const order = (now: number, jobs: [string, number, Partial<JobSpec>][]): string[] => {
--- a/src/test/sim/cycle.ts
+++ b/src/test/sim/cycle.ts
@@ -1,5 +1,6 @@
 // Single scheduling cycles on machines and jobs made for a test.
-import { jobSpec, teams as dayTeams, types } from './day.js';
+import { teams as dayTeams } from './fixtures.js';
+import { jobSpec, types } from './fixtures.js';
 import { Machine, add } from '../../core/cluster.js';
 import { Job, newPlacement, type Placement } from '../../core/job.js';
 import { runCycle, type CycleResult } from '../../core/scheduler.js';
--- /dev/null
+++ b/src/test/sim/fixtures.ts
@@ -0,0 +1,60 @@
+// Teams, machine types and a plain job, for tests that need some and don't care which.
+import type { JobSpec, MachineType, TeamLimits } from '../../core/types.js';
+import type { JobId, Team, TypeName, Zone } from '../../core/units.js';
+
+export const teams: TeamLimits[] = [
+  { name: 'blue' as Team, cpus: 0, cpusMax: 0, gpus: 4, gpusMax: 20 },
+  { name: 'green' as Team, cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 },
+];
+
+export const types: MachineType[] = [
+  {
+    name: 'small' as TypeName,
+    cpus: 16,
+    gpus: 2,
+    memoryGb: 64,
+    cacheGb: 60,
+    fetchGbPerS: 1,
+    price: 4,
+    spotPrice: 1.5,
+    bootS: 20,
+    zones: ['east', 'west'] as Zone[],
+  },
+  {
+    name: 'large' as TypeName,
+    cpus: 64,
+    gpus: 8,
+    memoryGb: 512,
+    cacheGb: 100,
+    fetchGbPerS: 1,
+    price: 14,
+    spotPrice: 6,
+    bootS: 20,
+    zones: ['east', 'west'] as Zone[],
+  },
+];
+
+export const jobSpec = (id: string, over: Partial<JobSpec> = {}): JobSpec => ({
+  id: id as JobId,
+  class: 'batch',
+  team: 'green' as Team,
+  kind: 'array',
+  priority: 'normal',
+  tasks: 1,
+  cpus: 4,
+  gpus: 1,
+  memoryGb: 16,
+  image: 'img-1',
+  imageGb: 4,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 30,
+  checkpointS: 10,
+  saveS: 2,
+  deadlineS: null,
+  dependsOn: [],
+  ...over,
+});
--- a/src/test/sim/state-service.ts
+++ b/src/test/sim/state-service.ts
@@ -1,6 +1,8 @@
 // Stand-in for the state service: transactions, leases, watches; outages, refusals of one host, late transactions.
 import type { Host } from './host.js';
 import { serve, type Answer } from './serve.js';
+import type { StateLimits } from '../../config/platform.js';
+import { Budget } from '../../runtime/budget.js';
 
 interface Item {
   data: unknown;
@@ -35,6 +37,13 @@
   /** Every answer takes this much longer. */
   answerDelayMs = 0;
   private watchers: (() => void)[] = [];
+  /** What it takes; null: anything. */
+  limits: StateLimits | null = null;
+  /** Transactions that were refused for their size. */
+  tooLarge = 0;
+  /** Transactions that were refused since there were too many. */
+  tooMany = 0;
+  private readonly writes = new Budget(Infinity, Infinity, 0);
   /** Transactions without an answer that were carried out late. */
   late = 0;
 
@@ -105,7 +114,24 @@
     this.wake();
   }
 
+  private refusal(t: Multi): Answer | null {
+    if (!this.limits) return null;
+    const { writeRps, valueKb, txnOps } = this.limits;
+    const fits = (c: Change): boolean =>
+      !('put' in c) || Buffer.byteLength(JSON.stringify(c.data)) <= valueKb * 1024;
+    if (t.then.length > txnOps || t.if.length > 4 * txnOps || !t.then.every(fits)) {
+      this.tooLarge++;
+      return { status: 400, body: { error: 'too large' } };
+    }
+    this.writes.setRate(writeRps, writeRps, this.now);
+    if (this.writes.take(t.then.length, this.now)) return null;
+    this.tooMany++;
+    return { status: 429 };
+  }
+
   private transact(t: Multi): Answer {
+    const refusal = this.refusal(t);
+    if (refusal) return refusal;
     const failed = t.if
       .filter((c) => (this.items.get(c.key)?.stamp ?? 0) !== Number(c.stamp))
       .map((c) => c.key);
--- a/src/test/sim/user.ts
+++ b/src/test/sim/user.ts
@@ -30,6 +30,7 @@
   waypointS: s.checkpointS,
   stowS: s.saveS,
   dueS: s.deadlineS,
+  ...(s.dependsOn.length > 0 ? { awaits: s.dependsOn } : {}),
 });
 
 export interface UserAnswer {
@@ -41,6 +42,8 @@
 export class User {
   status = 'not submitted';
   accepted = false;
+  /** Called when the job is accepted. */
+  onAccepted: () => void = () => undefined;
   /** When a question about the job was last answered. */
   answeredAt = -Infinity;
   private readonly clients: HttpClient[];
@@ -104,6 +107,7 @@
         this.accepted = true;
         this.checker.accepted(this.spec.id);
         this.take(r);
+        this.onAccepted();
       } else if (r && (r.status === 400 || r.status === 422)) {
         this.status = String(r.status);
         return;
@@ -124,6 +128,7 @@
   private async abort(): Promise<void> {
     if (this.askedToCancel) return;
     this.askedToCancel = true;
+    this.checker.askedCancel(this.spec.id);
     for (let tries = 0; tries < 90; tries++) {
       const r = await this.ask('POST', `/v1/jobs/${this.spec.id}/abort`, {}, 5000);
       if (r?.status === 200) {
@@ -144,6 +149,8 @@
     this.status = status === 'withdrawn' ? 'cancelled' : status;
     if (this.status === 'cancelled' && this.askedToCancel) this.checker.toldCancelled(this.spec.id);
     else if (this.status === 'cancelled') this.checker.cancelledUnasked(this.spec.id);
+    // Asked before, and only answered now: what was true then is no older than it should be.
+    else if (this.status !== 'done') this.checker.toldUnfinished(this.spec.id, r.askedAt);
     else this.checker.told(this.spec.id, this.status);
     if (this.status === 'done' || this.status === 'cancelled') this.finalAt ??= now;
   }
--- /dev/null
+++ b/src/test/state-limits.test.ts
@@ -0,0 +1,144 @@
+// What is kept in the state service stays within its limits, also after they were lowered.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parsePlatform } from '../config/platform.js';
+import { Completion } from '../core/leader/completion.js';
+import { Dependencies } from '../core/leader/dependencies.js';
+import type { Effect, LeaderSettings } from '../core/leader/effects.js';
+import { LeaderState } from '../core/leader/state.js';
+import { Job } from '../core/job.js';
+import { segmentName, segmentStart } from '../core/progress-segments.js';
+import { Roster } from '../core/roster.js';
+import type { MachineInfo, MachineType } from '../core/types.js';
+import type { MachineId, SegmentName, Steady, Term, TypeName, WallTime } from '../core/units.js';
+import { pagesOf } from '../runtime/machine-types.js';
+import {
+  fitsRosterPage,
+  fitsValue,
+  parseProgress,
+  progressData,
+  rosterRecord,
+  segmentBytes,
+} from '../wire/state.js';
+import { jobSpec, types } from './sim/fixtures.js';
+import { platformToml } from './sim/platform-toml.js';
+
+type ProgressEffect = Extract<Effect, { kind: 'progress' }>;
+
+const now = 0 as Steady;
+
+test('of the limits now and later the smaller one holds; without later ones those of now', () => {
+  const lowered = parsePlatform(platformToml('[settings.state.next]\nvalue_kb = 2.0\nwrite_rps = 90.0\n'));
+  assert.deepEqual(lowered.stateLimits, { rps: 120, writeRps: 20, valueKb: 2, txnOps: 16 });
+  assert.equal(parsePlatform(platformToml('')).stateLimits.valueKb, 16);
+});
+
+/** A leader's bookkeeping of one job, with the progress writes that it asks for. */
+const bookkeeping = (tasks: number, bytes: number) => {
+  const settings = { segmentBytes: bytes } as unknown as LeaderSettings;
+  const state = new LeaderState({ term: 1 as Term, keyStamp: 1 }, settings, now);
+  const spec = jobSpec('wk-1', { tasks });
+  const job = new Job(spec.id, { spec, submittedAt: 0 as WallTime, cancelledAt: null }, 1, false, now);
+  state.jobs.set(job.id, job);
+  const completion = new Completion(state, new Dependencies(state, () => undefined));
+  let time = 0;
+  const flush = (): ProgressEffect[] => {
+    completion.finishJobs((time += 2000) as Steady);
+    return state.takeEffects().filter((e): e is ProgressEffect => e.kind === 'progress');
+  };
+  return { job, completion, flush };
+};
+
+test('progress of 100,000 tasks under 2 KiB: each record fits, and a new leader reads all of it back', () => {
+  const bytes = segmentBytes(2);
+  const { job, flush } = bookkeeping(100_000, bytes);
+  for (let i = 0; i < 100_000; i += 3) job.markDone(i);
+  const writes = flush();
+  assert.equal(writes.length, Math.ceil(100_000 / 8 / bytes));
+  const next = bookkeeping(100_000, segmentBytes(16));
+  for (const { segment, bytes: bits } of writes) {
+    const data = progressData(bits);
+    assert.ok(fitsValue(data, 2), `${segment} is too large`);
+    next.completion.loadProgress(job.id, segment, Buffer.from(parseProgress(data)!, 'base64'));
+  }
+  assert.equal(next.job.doneCount, job.doneCount);
+  assert.ok(next.job.isDurable(99_999) && !next.job.isDone(99_998));
+});
+
+test('only segments with new completions are written; a failed write is repeated with what came meanwhile', () => {
+  const { job, completion, flush } = bookkeeping(30_000, segmentBytes(2));
+  job.markDone(0);
+  const [first] = flush();
+  job.markDone(1);
+  assert.deepEqual(flush(), [], 'a write is under way');
+  completion.onProgress(job.id, first.segment, first.bytes, false);
+  const again = flush();
+  assert.deepEqual(
+    again.map((e) => [e.segment, e.bytes[0]]),
+    [[first.segment, 3]],
+  );
+  completion.onProgress(job.id, first.segment, again[0].bytes, true);
+  assert.deepEqual(flush(), []);
+  job.markDone(29_999);
+  assert.deepEqual(
+    flush().map((e) => e.segment),
+    ['2x1527'],
+  );
+});
+
+test('names of segments: plain where earlier versions wrote the same, else with the size', () => {
+  assert.equal(segmentName(3, 2048, 12_500), '3');
+  assert.equal(segmentName(0, 1524, 30), '0');
+  assert.equal(segmentName(3, 1524, 12_500), '3x1524');
+  assert.deepEqual(['3', '3x1524', 'x', ''].map(segmentStart), [6144, 4572, null, null]);
+});
+
+test('large segments of an earlier leader stay valid beside small ones, and all are dropped with the job', () => {
+  const { job, completion, flush } = bookkeeping(100_000, segmentBytes(2));
+  const earlier = new Uint8Array(2048).fill(255);
+  completion.loadProgress(job.id, '1' as SegmentName, earlier);
+  assert.equal(job.doneCount, 16_384);
+  assert.ok(job.isDurable(16_384) && !job.isDurable(16_383));
+  job.markDone(16_383);
+  for (const e of flush()) completion.onProgress(job.id, e.segment, e.bytes, true);
+  assert.deepEqual([...job.stored], ['1', '1x1527']);
+});
+
+const machine = (n: number): MachineInfo => ({
+  ...({ endpoint: '', type: 'coach', zone: 'regina', spot: false } as unknown as MachineInfo),
+  id: `host-${String(n).padStart(6, '0')}` as MachineId,
+});
+
+test('a roster page that is too large now is moved piece by piece, and names each machine until another page does', () => {
+  const fits = (machines: MachineInfo[]): boolean => fitsRosterPage(machines, 2);
+  const roster = new Roster();
+  const all = Array.from({ length: 81 }, (_, n) => machine(n));
+  for (const info of all) roster.load('old', info);
+  assert.ok(!fits(all));
+  roster.remove('old', all[80].id);
+  assert.equal(roster.next('stale', fits), null, 'not written as it is');
+  const durable = new Map([['old', new Set(all.map((m) => m.id))]]);
+  const named = (): number => new Set([...durable.values()].flatMap((page) => [...page])).size;
+  for (let page = 1; roster.oversized(fits).length > 0; page++) {
+    const part = roster.oversized(fits);
+    assert.ok(fits(part) && part.length > 10);
+    roster.open(`new-${page}`, part);
+    assert.ok(named() >= 80, 'while the write is under way');
+    durable.set(`new-${page}`, new Set(part.map((m) => m.id)));
+    for (const id of roster.written(`new-${page}`, true)) roster.remove('old', id);
+  }
+  const rest = roster.next('stale', fits)!;
+  assert.ok(fitsValue(rosterRecord(rest.machines), 2));
+  durable.set('old', new Set(rest.machines.map((m) => m.id)));
+  assert.equal(named(), 80);
+});
+
+test('a long list of machine types is divided into values that fit', () => {
+  const many: MachineType[] = Array.from({ length: 60 }, (_, n) => ({
+    ...types[0],
+    name: `type-${n}` as TypeName,
+  }));
+  const pages = pagesOf(many, 2);
+  assert.deepEqual(pages.flat(), many);
+  for (const page of pages) assert.ok(fitsValue({ pages: pages.length, types: page }, 2));
+});
--- a/src/wire/state.ts
+++ b/src/wire/state.ts
@@ -2,7 +2,8 @@
 import * as v from 'valibot';
 import { counter, integer, parseWith, text } from './common.js';
 import type { FinalRecord, JobRecord, JobSpec, MachineInfo, MachineType } from '../core/types.js';
-import type { Counter, JobId, NodeName, Stamp, Term, WallTime } from '../core/units.js';
+import { LARGEST_SEGMENT_BYTES } from '../core/progress-segments.js';
+import type { Counter, JobId, NodeName, SegmentName, Stamp, Term, WallTime } from '../core/units.js';
 
 export interface Condition {
   key: string;
@@ -30,6 +31,7 @@
 const committed = v.object({ ledger: counter });
 const conflict = v.object({ failed: v.array(text), ledger: counter });
 const leased = v.object({ permit: counter });
+const leaseGone = v.object({ error: v.literal('no such lease') });
 const events = v.object({
   ledger: counter,
   log: v.array(
@@ -52,6 +54,8 @@
 export const parseCommitted = (raw: unknown) => orNull(committed, raw);
 export const parseConflict = (raw: unknown) => orNull(conflict, raw);
 export const parseLease = (raw: unknown) => orNull(leased, raw)?.permit ?? null;
+/** Whether a refused transaction named a lease that has ended. */
+export const saysLeaseGone = (raw: unknown): boolean => parseWith(leaseGone, raw).ok;
 export const parseEvents = (raw: unknown) => orNull(events, raw);
 
 export const listTarget = (prefix: string, since: string | null, most: number) =>
@@ -64,13 +68,15 @@
   leader: 'l/leader',
   term: 'l/term',
   types: 'c/types',
+  /** Where the list of types is longer than one value may be. */
+  typesPage: (page: number) => `c/types/${page}`,
   activePrefix: 'j/',
   progressPrefix: 'p/',
   rosterPrefix: 'm/',
   leaderPrefix: 'l/',
   active: (id: JobId) => `j/${id}`,
   final: (id: JobId) => `f/${id}`,
-  progress: (id: JobId, chunk: number) => `p/${id}/${chunk}`,
+  progress: (id: JobId, segment: SegmentName) => `p/${id}/${segment}`,
   rosterPage: (page: string) => `m/${page}`,
 };
 
@@ -96,6 +102,8 @@
   checkpointS: v.number(),
   saveS: v.number(),
   deadlineS: v.nullable(v.number()),
+  // Records of jobs that wait for none don't have it, as all of those that earlier versions wrote.
+  dependsOn: v.optional(v.array(text), []),
 });
 const jobRecord = v.object({ spec, submittedAt: v.number(), cancelledAt: v.nullable(v.number()) });
 /** The word that stands in stored records for a cancelled job. */
@@ -106,7 +114,6 @@
 const rosterPageRecord = v.object({
   machines: v.array(v.object({ id: text, type: text, zone: text, spot: v.boolean() })),
 });
-const ROSTER_ENTRY_BYTES = 200;
 const progressRecord = v.object({ bits: v.string() });
 
 export const parseJobRecord = (raw: unknown): JobRecord | null => {
@@ -119,6 +126,15 @@
         cancelledAt: r.cancelledAt as WallTime | null,
       };
 };
+/** A job's record as it is stored. */
+export const jobRecordData = (record: JobRecord): unknown => {
+  const { dependsOn, ...plain } = record.spec;
+  return dependsOn.length > 0 ? record : { ...record, spec: plain };
+};
+const dependenciesOnly = v.object({ spec: v.object({ dependsOn: v.array(text) }) });
+/** The jobs that a record names to be done before; cheaper than reading all of it. */
+export const dependenciesIn = (raw: unknown): JobId[] =>
+  (orNull(dependenciesOnly, raw)?.spec.dependsOn ?? []) as JobId[];
 /** Whether a job's record says that it is cancelled; cheaper than reading all of it. */
 export const saysCancelled = (raw: unknown): boolean =>
   typeof raw === 'object' && raw !== null && 'cancelledAt' in raw && typeof raw.cancelledAt === 'number';
@@ -141,9 +157,24 @@
 export const rosterRecord = (machines: MachineInfo[]) => ({
   machines: machines.map(({ id, type, zone, spot }) => ({ id, type, zone, spot })),
 });
-/** How many machines a page may name within the service's limit on a value. */
-export const rosterPage = (valueKb: number): number =>
-  Math.max(1, Math.min(100, Math.floor((valueKb * 1024) / ROSTER_ENTRY_BYTES)));
+/** Machines on one page at the most, however much a value may hold. */
+const MOST_ON_PAGE = 100;
+/** Whether one page can name all of these machines. */
+export const fitsRosterPage = (machines: MachineInfo[], valueKb: number): boolean =>
+  machines.length <= MOST_ON_PAGE && fitsValue(rosterRecord(machines), valueKb);
+/** The size of a value as the state service counts it: in the form of JSON. */
+export const storedBytes = (data: unknown): number => Buffer.byteLength(JSON.stringify(data));
+/** Whether the service takes the value. */
+export const fitsValue = (data: unknown, valueKb: number): boolean => storedBytes(data) <= valueKb * 1024;
+export const progressData = (bytes: Uint8Array) => ({ bits: Buffer.from(bytes).toString('base64') });
+/** How many bytes of completions fit one value: base64 makes four characters of three bytes. */
+export const segmentBytes = (valueKb: number): number => {
+  const characters = valueKb * 1024 - storedBytes(progressData(new Uint8Array(0)));
+  return Math.max(3, Math.min(LARGEST_SEGMENT_BYTES, Math.floor(characters / 4) * 3));
+};
 export const parseProgress = (raw: unknown) => orNull(progressRecord, raw)?.bits ?? null;
+const typesPage = v.object({ pages: v.number(), types: v.array(v.record(v.string(), v.unknown())) });
+export const parseTypesPage = (raw: unknown) =>
+  orNull(typesPage, raw) as unknown as { pages: number; types: MachineType[] } | null;
 export const parseStoredTypes = (raw: unknown): MachineType[] | null =>
   (orNull(v.array(v.record(v.string(), v.unknown())), raw) as unknown as MachineType[] | null) ?? null;
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -5,10 +5,11 @@
 import type { JobId, Team, TypeName, Zone } from '../core/units.js';
 
 const MAX_TASKS = 100_000;
+const JOB_ID = /^wk-\d{1,32}$/;
 const kinds: Record<string, Kind> = { array: 'array', group: 'gang', service: 'service' };
 
 const schema = v.object({
-  nameId: v.pipe(v.string(), v.regex(/^wk-\d{1,32}$/)),
+  nameId: v.pipe(v.string(), v.regex(JOB_ID)),
   herd: text,
   outfit: text,
   gait: v.picklist(['array', 'group', 'service']),
@@ -28,9 +29,10 @@
   waypointS: amount,
   stowS: amount,
   dueS: v.nullish(amount),
+  awaits: v.nullish(v.array(v.pipe(v.string(), v.regex(JOB_ID)))),
 });
 
-export const isJobId = (s: string): s is JobId => /^wk-\d{1,32}$/.test(s);
+export const isJobId = (s: string): s is JobId => JOB_ID.test(s);
 
 export const parseJob = (raw: unknown): { ok: true; value: JobSpec } | { ok: false; cause: string } => {
   const r = parseWith(schema, raw);
@@ -59,6 +61,7 @@
       checkpointS: j.waypointS,
       saveS: j.stowS,
       deadlineS: j.dueS ?? null,
+      dependsOn: [...new Set(j.awaits ?? [])] as JobId[],
     },
   };
 };
