--- /dev/null
+++ b/src/test/upgrade.test.ts
@@ -0,0 +1,163 @@
+// The version in production and the present one side by side: a rolling upgrade on virtual time, and each one's records
+// and messages read by the other.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { teams as dayTeams, jobSpec, types } from './sim/fixtures.js';
+import { begin, playDay, type Meeting } from './sim/meeting.js';
+import { submitPipelines } from './sim/pipelines.js';
+import { loadProduction, type Version } from './sim/production.js';
+import type { Setup } from './sim/service.js';
+import type { StateLimits } from '../config/platform.js';
+import type { JobRecord } from '../core/types.js';
+import type { JobId, MachineId, NodeName, Term, TypeName, WallTime } from '../core/units.js';
+import { encode, decode } from '../wire/cbor.js';
+import { parsePeerRequest, type PeerRequest } from '../wire/peer-messages.js';
+import { dependenciesIn, jobRecordData, parseJobRecord } from '../wire/state.js';
+
+const production = await loadProduction();
+
+const ROLL = 40_000;
+const EVERY_MS = 10_000;
+const LOWERED = 90_000;
+const lowered: Partial<Setup> = {
+  version: production,
+  stateLimits: { valueKb: 16, txnOps: 16, writeRps: 40 },
+  nextLimits: { valueKb: 2, txnOps: 5, writeRps: 25 },
+};
+
+/** Controllers are killed one after the other and come back with the present version; then the limits fall. */
+const roll = (m: Meeting): void => {
+  for (const [i, p] of m.sim.processes.entries()) m.sim.at(ROLL + i * EVERY_MS, () => m.sim.upgrade(p, 4000));
+  m.sim.at(LOWERED, () => m.sim.lowerLimits());
+  m.sim.at(LOWERED + 5000, () => submitPipelines(m, 3));
+};
+
+const playUpgrade = async (seed: number, script: (m: Meeting) => void, over = lowered) => {
+  const { sim, broken, unfinished } = await playDay(seed, { over, quietMs: 160_000, endMs: 380_000 }, script);
+  assert.deepEqual({ seed, broken, unfinished }, { seed, broken: [], unfinished: [] });
+  return sim;
+};
+
+/** Short jobs all the while, so that each version finishes what the other took in. */
+const steadyWork = (m: Meeting): void => {
+  begin(m);
+  for (let i = 0; i < 40; i++)
+    m.sim.at(12_000 + i * 3000, () => {
+      const id = m.submit({ tasks: 1 + (i % 3) }, 6000);
+      if (i % 5 === 0) m.sim.at(m.sim.now + 2500, () => m.sim.cancel(id));
+    });
+};
+
+test('an upgrade under load; then the limits fall, and pipelines are submitted', async () => {
+  for (const seed of [1, 2]) {
+    const sim = await playUpgrade(seed, (m) => {
+      steadyWork(m);
+      roll(m);
+    });
+    assert.equal(sim.state.tooLarge, 0, 'nothing was written that the service does not take any more');
+  }
+});
+
+test('in an upgrade an old controller dies early and comes back old, and the state service is out', async () => {
+  await playUpgrade(1, (m) => {
+    steadyWork(m);
+    roll(m);
+    m.sim.at(ROLL + 5000, () => m.sim.restart(m.sim.processes[2], 300));
+    m.sim.at(ROLL + 13_000, () => m.sim.state.outage(6000));
+    m.sim.at(ROLL + 12_000, () => m.sim.state.lateWrites(0.2, 40_000));
+  });
+});
+
+test('leadership passes between the versions, both ways', async () => {
+  const leaders: boolean[] = [];
+  await playUpgrade(2, (m) => {
+    steadyWork(m);
+    for (let i = 0; i < 8; i++)
+      m.sim.at(ROLL + i * 6000, () => {
+        const { leader } = m.sim;
+        if (!leader) return;
+        leaders.push(leader.version === null);
+        m.sim.restart(leader, 1000);
+        if (i === 0) m.sim.upgrade(m.sim.processes[0], 1000);
+      });
+    m.sim.at(ROLL + 50_000, () => m.sim.processes.forEach((p) => m.sim.upgrade(p, 1500)));
+  });
+  assert.ok(leaders.includes(true) && leaders.includes(false), 'both versions have led');
+});
+
+/** A job whose record is larger than the service will take later is accepted, runs, and is cancelled after that. */
+const cancelLargeRecord = async (nextLimits: Partial<StateLimits>) => {
+  let id = 'wk-0' as JobId;
+  const others = Array.from({ length: 99 }, (_, i) => `another-type-${i}` as TypeName);
+  const { sim, broken } = await playDay(
+    1,
+    { over: { ...lowered, nextLimits }, quietMs: 120_000, endMs: 200_000 },
+    (m) => {
+      m.sim.at(8000, () => (id = m.submit({ tasks: 2, types: [...others, types[0].name] })));
+      m.sim.at(30_000, () => m.sim.processes.forEach((p) => m.sim.upgrade(p, 2000)));
+      m.sim.at(60_000, () => (m.sim.state.limits = { rps: 200, writeRps: 25, valueKb: 2, txnOps: 5 }));
+      m.sim.at(70_000, () => m.sim.cancel(id));
+    },
+  );
+  return { status: sim.users.get(id)!.status, broken, tooLarge: sim.state.tooLarge };
+};
+
+test('a record from before the limits fell can still be cancelled; not so where they were not announced', async () => {
+  const announced = await cancelLargeRecord({ valueKb: 2, txnOps: 5, writeRps: 25 });
+  assert.deepEqual(announced, { status: 'cancelled', broken: [], tooLarge: 0 });
+  const surprised = await cancelLargeRecord({});
+  assert.notEqual(surprised.status, 'cancelled');
+  assert.ok(surprised.tooLarge > 0);
+});
+
+const record = (over: Partial<JobRecord['spec']>): JobRecord => ({
+  spec: jobSpec('wk-7', { team: dayTeams[0].name, ...over }),
+  submittedAt: 1_700_000_000_000 as WallTime,
+  cancelledAt: null,
+});
+const stored = (data: unknown): unknown => decode(encode(data));
+
+test('records: each version reads what the other wrote', () => {
+  const plain = record({});
+  const { dependsOn, ...oldSpec } = plain.spec;
+  assert.deepEqual(dependsOn, []);
+  const oldRecord = { ...plain, spec: oldSpec };
+  assert.deepEqual(stored(jobRecordData(plain)), oldRecord, 'without dependencies the same as before');
+  assert.deepEqual(parseJobRecord(stored(oldRecord)), plain);
+  const dependent = record({ dependsOn: ['wk-5' as JobId, 'wk-6' as JobId] });
+  const read = production.parseJobRecord(stored(jobRecordData(dependent)));
+  assert.deepEqual(read, { ...dependent, spec: oldSpec }, 'passed over, not a damaged record');
+  assert.deepEqual(dependenciesIn(stored(jobRecordData(dependent))), ['wk-5', 'wk-6']);
+  assert.deepEqual(dependenciesIn(stored(oldRecord)), []);
+});
+
+test('messages between controllers: each version takes what the other sends', () => {
+  const status = {
+    node: 'stable-0' as NodeName,
+    term: 3 as Term,
+    leading: true,
+    holding: true,
+    reaches: null,
+    stateOk: true,
+    hearing: true,
+    leaderSeenAgoMs: 40,
+  };
+  const requests: PeerRequest[] = [
+    { kind: 'heartbeat', from: status, have: null },
+    { kind: 'cancelled', jobs: ['wk-1'] },
+    { kind: 'heard', machines: ['host-1'] },
+    { kind: 'relay', report: Buffer.from([1]) },
+    {
+      kind: 'vouch',
+      term: 3 as Term,
+      machines: [{ machine: 'host-1' as MachineId, session: 1, seq: 9, base: 8 }],
+    },
+    { kind: 'user', method: 'GET', target: '/v1/jobs/wk-1', body: Buffer.alloc(0) },
+    { kind: 'hints', images: {} },
+    { kind: 'counts', job: 'wk-1' },
+  ];
+  const versions: Pick<Version, 'parsePeerRequest'>[] = [production, { parsePeerRequest }];
+  for (const request of requests)
+    for (const version of versions)
+      assert.ok(version.parsePeerRequest(stored(request)).ok, `${request.kind} not taken`);
+});
