--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -201,7 +201,7 @@
 
   private cancelKnown(job: Job, now: Steady): void {
     this.state.cancel(job, now);
-    this.dependencies.cancelDependents(job.id, now);
+    this.dependencies.cancelDependents(job.id);
   }
 
   /** All that the job depends on is done. */
--- a/src/core/leader/completion.ts
+++ b/src/core/leader/completion.ts
@@ -85,7 +85,7 @@
       job.stamp = outcome.stamp;
       if (cancelledNow) {
         this.state.cancel(job, now);
-        this.dependencies.cancelDependents(id, now);
+        this.dependencies.cancelDependents(id);
       }
       return;
     }
--- a/src/core/leader/dependencies.ts
+++ b/src/core/leader/dependencies.ts
@@ -42,7 +42,7 @@
     for (const id of job.spec.dependsOn) this.dependOn(job, id, now);
     if (job.spec.dependsOn.length > 0) this.changed = true;
     if (this.dependents.has(job.id)) this.changed = true;
-    if (job.cancelled) this.cancelDependents(job.id, now);
+    if (job.cancelled) this.cancelDependents(job.id);
     if (job.dependencyCancelled) return;
     if (job.ready) this.onReady(job, now);
     else this.logWaiting(job);
@@ -52,7 +52,7 @@
     const final = this.finalStates.get(id);
     if (final === 'done') return;
     if (final === 'cancelled' || this.state.jobs.get(id)?.cancelled) {
-      this.cancelWith(job, id, now);
+      if (this.markCancelled(job, id)) this.cancelDependents(job.id);
       return;
     }
     job.unfinishedDependencies.add(id);
@@ -76,7 +76,7 @@
       this.finalStates.delete(this.finalStates.keys().next().value!);
     this.finalStates.set(id, final);
     if (final === 'cancelled') {
-      this.cancelDependents(id, now);
+      this.cancelDependents(id);
       return;
     }
     const waiting = this.dependents.get(id);
@@ -90,19 +90,23 @@
   }
 
   /** The job is cancelled: so is all that depends on it, directly or through others. */
-  cancelDependents(id: JobId, now: Steady): void {
+  cancelDependents(id: JobId): void {
     this.changed = true;
-    const waiting = this.dependents.get(id);
-    this.dependents.delete(id);
-    for (const job of waiting ?? []) this.cancelWith(job, id, now);
+    const cancelled = [id];
+    for (let each = cancelled.pop(); each !== undefined; each = cancelled.pop()) {
+      const waiting = this.dependents.get(each);
+      this.dependents.delete(each);
+      for (const job of waiting ?? []) if (this.markCancelled(job, each)) cancelled.push(job.id);
+    }
   }
 
-  private cancelWith(job: Job, dependency: JobId, now: Steady): void {
-    if (job.dependencyCancelled) return;
+  /** False if it was marked before. */
+  private markCancelled(job: Job, dependency: JobId): boolean {
+    if (job.dependencyCancelled) return false;
     job.dependencyCancelled = true;
     this.state.log('info', { job: job.id, class: job.spec.class, dependency }, 'job cancelled with another');
     this.state.changedSinceTick = true;
-    this.cancelDependents(job.id, now);
+    return true;
   }
 
   /** Jobs whose final records are to be read now. */
--- /dev/null
+++ b/src/test/dependencies.test.ts
@@ -0,0 +1,187 @@
+// Dependencies between jobs, as the leader keeps them: against a plain model on random graphs, and rule by rule.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { jobSpec } from './sim/fixtures.js';
+import { Job } from '../core/job.js';
+import { Dependencies } from '../core/leader/dependencies.js';
+import type { LeaderSettings } from '../core/leader/effects.js';
+import { LeaderState } from '../core/leader/state.js';
+import { markGuaranteed } from '../core/scheduler/guarantees.js';
+import { priorityRank, type FinalState, type JobSpec, type Priority } from '../core/types.js';
+import type { JobId, Steady, Team, Term, WallTime } from '../core/units.js';
+
+const now = 0 as Steady;
+const idOf = (n: number): JobId => `wk-${n}` as JobId;
+
+const setup = () => {
+  const state = new LeaderState({ term: 1 as Term, keyStamp: 1 }, {} as LeaderSettings, now);
+  const ready: JobId[] = [];
+  const dependencies = new Dependencies(state, (job) => ready.push(job.id));
+  const learn = (id: JobId, over: Partial<JobSpec> = {}): Job => {
+    const record = { spec: jobSpec(id, over), submittedAt: 0 as WallTime, cancelledAt: null };
+    const job = new Job(id, record, 1, false, now);
+    state.jobs.set(id, job);
+    dependencies.learn(job, now);
+    return job;
+  };
+  const finish = (id: JobId, final: FinalState): void => {
+    state.jobs.delete(id);
+    dependencies.finished(id, final, now);
+  };
+  return { state, ready, dependencies, learn, finish };
+};
+
+test('a job is ready when the last of those that it depends on is done', () => {
+  const { ready, learn, finish } = setup();
+  learn(idOf(1));
+  learn(idOf(2));
+  const last = learn(idOf(3), { dependsOn: [idOf(1), idOf(2)] });
+  assert.deepEqual(ready, [idOf(1), idOf(2)]);
+  assert.deepEqual(last.reason, { why: 'waiting for other jobs', jobs: 2 });
+  finish(idOf(2), 'done');
+  assert.equal(last.ready, false);
+  finish(idOf(1), 'done');
+  assert.deepEqual(ready, [idOf(1), idOf(2), idOf(3)]);
+});
+
+test('of jobs that ended before, the final records are read: done, cancelled, or asked for again', () => {
+  const { state, ready, dependencies, learn } = setup();
+  const after = learn(idOf(3), { dependsOn: [idOf(1)] });
+  const other = learn(idOf(4), { dependsOn: [idOf(2)] });
+  assert.deepEqual(dependencies.takeLookups(now), [idOf(1), idOf(2)]);
+  assert.deepEqual(dependencies.takeLookups(now), [], 'asked for once');
+  dependencies.onLookup(idOf(1), null, now);
+  dependencies.onLookup(idOf(2), 'cancelled', now);
+  assert.ok(!after.ready && !after.cancelled && other.cancelled);
+  assert.deepEqual(dependencies.takeLookups(499 as Steady), []);
+  assert.deepEqual(dependencies.takeLookups(500 as Steady), [idOf(1)]);
+  dependencies.onLookup(idOf(1), 'done', 500 as Steady);
+  assert.deepEqual(ready, [idOf(3)]);
+  assert.ok(state.jobs.get(idOf(3))!.ready);
+});
+
+test('many final records are read a few at a time', () => {
+  const { dependencies, learn } = setup();
+  learn(idOf(0), { dependsOn: Array.from({ length: 100 }, (_, n) => idOf(n + 1)) });
+  const asked = dependencies.takeLookups(now);
+  assert.ok(asked.length > 1 && asked.length < 50);
+  dependencies.onLookup(asked[0], 'done', now);
+  assert.equal(dependencies.takeLookups(now).length, 1);
+});
+
+test('priority and due time are inherited from the jobs after; own ones are never lowered', () => {
+  const { dependencies, learn } = setup();
+  const first = learn(idOf(1), { priority: 'low', estimateS: 10 });
+  const second = learn(idOf(2), { dependsOn: [idOf(1)], priority: 'low', estimateS: 20 });
+  dependencies.propagate();
+  assert.equal(first.priority, 'low');
+  assert.equal(first.dueAt, null);
+  const alert = { dependsOn: [idOf(2)], priority: 'high', estimateS: 5, deadlineS: 100 } as const;
+  learn(idOf(3), { ...alert, dependsOn: [idOf(2)] });
+  const urgent = learn(idOf(4), { dependsOn: [idOf(2)], priority: 'low' });
+  dependencies.propagate();
+  assert.deepEqual([first.priority, second.priority, urgent.priority], ['high', 'high', 'low']);
+  assert.deepEqual([first.dueAt, second.dueAt], [75_000, 95_000]);
+  const production = learn(idOf(5), { priority: 'production', deadlineS: 30 });
+  learn(idOf(6), { dependsOn: [idOf(5)], priority: 'low', deadlineS: 1000 });
+  dependencies.propagate();
+  assert.equal(production.priority, 'production');
+  assert.equal(production.dueAt, 30_000);
+});
+
+test('a cancelled job after it passes nothing on', () => {
+  const { state, dependencies, learn } = setup();
+  const first = learn(idOf(1), { priority: 'low' });
+  const alert = learn(idOf(2), { dependsOn: [idOf(1)], priority: 'high' });
+  dependencies.propagate();
+  assert.equal(first.priority, 'high');
+  alert.record = { ...alert.record, cancelledAt: 1 as WallTime };
+  dependencies.cancelDependents(alert.id);
+  dependencies.propagate();
+  assert.equal(first.priority, 'low');
+  assert.equal(state.jobs.get(idOf(1))!.inherited?.priority, 'low');
+});
+
+test('a chain of 20,000 jobs needs no recursion', () => {
+  const { state, dependencies, learn } = setup();
+  const first = learn(idOf(0), { priority: 'low' });
+  for (let n = 1; n < 20_000; n++) learn(idOf(n), { dependsOn: [idOf(n - 1)], priority: 'low' });
+  learn(idOf(20_000), { dependsOn: [idOf(19_999)], priority: 'high' });
+  dependencies.propagate();
+  assert.equal(first.priority, 'high');
+  dependencies.cancelDependents(first.id);
+  assert.ok(state.jobs.get(idOf(20_000))!.cancelled);
+});
+
+test('while it waits for others a job takes no part of its team guarantee', () => {
+  const { state, learn } = setup();
+  const gold = { name: 'gold' as Team, cpus: 0, cpusMax: 0, gpus: 2, gpusMax: 0 };
+  learn(idOf(1), { team: gold.name, tasks: 1 });
+  const waiting = learn(idOf(2), { team: gold.name, tasks: 1, dependsOn: [idOf(1)] });
+  const later = learn(idOf(3), { team: gold.name, tasks: 1 });
+  markGuaranteed(state.jobs.values(), new Map([[gold.name, gold]]));
+  assert.deepEqual([waiting.withinGuarantee, later.withinGuarantee], [false, true]);
+});
+
+interface Model {
+  dependsOn: number[];
+  priority: Priority;
+  state: 'waiting' | 'ready' | FinalState;
+}
+const PRIORITIES: Priority[] = ['low', 'normal', 'high', 'production'];
+
+/** The plain model: everything is worked out anew from the graph. */
+const settle = (jobs: Model[]): void => {
+  for (const job of jobs) {
+    if (job.state === 'done' || job.state === 'cancelled') continue;
+    const needed = job.dependsOn.map((n) => jobs[n].state);
+    if (needed.includes('cancelled')) job.state = 'cancelled';
+    else job.state = needed.every((state) => state === 'done') ? 'ready' : 'waiting';
+  }
+};
+const effectiveRank = (jobs: Model[], n: number): number => {
+  const after = jobs.flatMap((job, i) => (job.dependsOn.includes(n) && job.state !== 'cancelled' ? [i] : []));
+  return Math.max(priorityRank[jobs[n].priority], ...after.map((i) => effectiveRank(jobs, i)));
+};
+
+test('random graphs: states, releases, cancellations and priorities are those of a plain model', () => {
+  for (let seed = 1; seed <= 60; seed++) {
+    const rng = xoroshiro128plus(seed);
+    const dice = (n: number): number => uniformInt(rng, 0, n - 1);
+    const { state, dependencies, learn, finish } = setup();
+    const jobs: Model[] = [];
+    for (let step = 0; step < 60; step++) {
+      if (dice(2) === 0 || jobs.length === 0) {
+        const most = Math.min(jobs.length, dice(4));
+        const dependsOn = [...new Set(Array.from({ length: most }, () => dice(jobs.length)))];
+        const priority = PRIORITIES[dice(4)];
+        jobs.push({ dependsOn, priority, state: 'waiting' });
+        learn(idOf(jobs.length - 1), { dependsOn: dependsOn.map(idOf), priority });
+      } else {
+        const n = dice(jobs.length);
+        const job = state.jobs.get(idOf(n));
+        if (!job) continue;
+        if (dice(4) === 0 && jobs[n].state !== 'cancelled') {
+          jobs[n].state = 'cancelled';
+          job.record = { ...job.record, cancelledAt: 1 as WallTime };
+          dependencies.cancelDependents(job.id);
+        } else if (jobs[n].state === 'ready') {
+          jobs[n].state = 'done';
+          finish(job.id, 'done');
+        } else if (jobs[n].state === 'cancelled') finish(job.id, 'cancelled');
+      }
+      settle(jobs);
+      dependencies.propagate();
+      for (const [n, model] of jobs.entries()) {
+        const job = state.jobs.get(idOf(n));
+        if (!job) continue;
+        const actual = job.cancelled ? 'cancelled' : job.ready ? 'ready' : 'waiting';
+        assert.equal(actual, model.state, `seed ${seed}, step ${step}, job ${n}`);
+        if (model.state !== 'cancelled')
+          assert.equal(priorityRank[job.priority], effectiveRank(jobs, n), `priority of ${n}, seed ${seed}`);
+      }
+    }
+  }
+});
--- a/src/test/user-api.test.ts
+++ b/src/test/user-api.test.ts
@@ -200,3 +200,78 @@
   assert.equal(await call(c, 'POST', '/v1/jobs', job), '200 withdrawn');
   assert.deepEqual(confirmed, ['wk-1', 'wk-1', 'wk-1']);
 });
+
+const after = (...awaits: string[]) => ({ ...job, nameId: 'wk-2', awaits });
+
+test('what a job depends on: accepted anywhere, or refused; a known job is answered as before', async () => {
+  const { store, make, call } = setup();
+  const [a, b] = [make(), make()];
+  assert.equal(await call(a, 'POST', '/v1/jobs', after('wk-1')), '422', 'never accepted');
+  assert.equal(await call(a, 'POST', '/v1/jobs', after('wk-2')), '422', 'itself');
+  assert.equal(await call(a, 'POST', '/v1/jobs', after('one')), '400');
+  assert.equal(await call(a, 'POST', '/v1/jobs', { ...job, nameId: 'wk-2', awaits: 'wk-1' }), '400');
+  await call(a, 'POST', '/v1/jobs', job);
+  assert.equal(await call(b, 'POST', '/v1/jobs', after('wk-1', 'wk-1')), '201 pending');
+  const record = store.items.get('j/wk-2')!.data as { spec: { dependsOn: string[] } };
+  assert.deepEqual(record.spec.dependsOn, ['wk-1'], 'named twice, counted once');
+  assert.equal(await call(b, 'POST', '/v1/jobs', after('wk-9')), '200 pending', 'known already');
+  assert.equal(await call(b, 'POST', '/v1/jobs', { ...job, nameId: 'wk-3', awaits: null }), '201 pending');
+  store.finish('wk-1', 'done');
+  assert.equal(await call(a, 'POST', '/v1/jobs', { ...after('wk-1'), nameId: 'wk-4' }), '201 pending');
+  store.mode = 'down';
+  assert.equal(await call(make(), 'POST', '/v1/jobs', { ...after('wk-1'), nameId: 'wk-5' }), '503 after 1');
+});
+
+test('a job after a cancelled one is recorded as cancelled before any user is told so', async () => {
+  const { store, make, call, confirmed } = setup();
+  const [a, b] = [make(), make()];
+  await call(a, 'POST', '/v1/jobs', job);
+  await call(a, 'POST', '/v1/jobs', after('wk-1'));
+  await call(a, 'POST', '/v1/jobs', { ...after('wk-2'), nameId: 'wk-3' });
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-3'), '200 pending');
+  await call(a, 'POST', '/v1/jobs/wk-1/abort');
+  assert.equal(
+    await call(b, 'GET', '/v1/jobs/wk-3'),
+    '200 withdrawn',
+    'through another, also without a feed',
+  );
+  assert.ok((store.items.get('j/wk-3')!.data as { cancelledAt: number | null }).cancelledAt !== null);
+  assert.ok(confirmed.includes('wk-3'));
+  assert.equal(
+    await call(b, 'POST', '/v1/jobs', { ...after('wk-1'), nameId: 'wk-4' }),
+    '201 pending',
+    'accepted',
+  );
+  assert.equal(await call(b, 'GET', '/v1/jobs/wk-4'), '200 withdrawn', 'and then cancelled');
+});
+
+test('a cancellation answered with done leaves the jobs after it alone', async () => {
+  const { store, make, call } = setup();
+  const api = make();
+  await call(api, 'POST', '/v1/jobs', job);
+  await call(api, 'POST', '/v1/jobs', after('wk-1'));
+  store.finish('wk-1', 'done');
+  assert.equal(await call(api, 'POST', '/v1/jobs/wk-1/abort'), '200 done');
+  assert.equal(await call(api, 'GET', '/v1/jobs/wk-2'), '200 pending');
+});
+
+test('a fresh feed answers for other jobs without a request; one that is behind is not believed', async () => {
+  const fresh = feed(true);
+  const { store, make, call } = setup(types, fresh);
+  const api = make();
+  await call(api, 'POST', '/v1/jobs', job);
+  await call(api, 'POST', '/v1/jobs', after('wk-1'));
+  fresh.index.put('wk-1' as JobId, [], false);
+  store.items.delete('j/wk-1');
+  assert.equal(await call(api, 'GET', '/v1/jobs/wk-2'), '200 pending', 'from the index');
+  fresh.cancelled.add('wk-1' as JobId);
+  assert.equal(await call(api, 'GET', '/v1/jobs/wk-2'), '200 withdrawn', 'from the log of cancellations');
+  const behind = feed(false);
+  const other = setup(types, behind);
+  const late = other.make();
+  await other.call(late, 'POST', '/v1/jobs', job);
+  await other.call(late, 'POST', '/v1/jobs', after('wk-1'));
+  behind.index.put('wk-1' as JobId, [], false);
+  other.store.finish('wk-1', 'withdrawn');
+  assert.equal(await other.call(late, 'GET', '/v1/jobs/wk-2'), '200 withdrawn', 'read again');
+});
