--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -94,6 +94,8 @@
   readonly unfinishedDependencies = new Set<JobId>();
   /** A job that it depends on is cancelled, and so is it: none of its tasks was ever started. */
   dependencyCancelled = false;
+  /** By how much it will probably miss its deadline; null: it is in time, or has none. */
+  predictedLateS: number | null = null;
   /** From the jobs that depend on it: the highest of their priorities, and when it has to be over for theirs. */
   inherited: { priority: Priority; dueAt: WallTime | null } | null = null;
 
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -32,6 +32,7 @@
 import { Dependencies } from './leader/dependencies.js';
 import type { Effect, ImageLocations, LeaderSettings } from './leader/effects.js';
 import { Fleet } from './leader/fleet.js';
+import { Lateness } from './leader/lateness.js';
 import { Queue } from './leader/queue.js';
 import { Renting } from './leader/renting.js';
 import { Reports } from './leader/reports.js';
@@ -62,6 +63,7 @@
   private readonly queue: Queue;
   private readonly dependencies: Dependencies;
   private readonly completion: Completion;
+  private readonly lateness: Lateness;
 
   constructor(
     readonly leadership: Leadership,
@@ -75,6 +77,7 @@
     this.queue = new Queue(this.state);
     this.dependencies = new Dependencies(this.state, (job, now) => this.onReady(job, now));
     this.completion = new Completion(this.state, this.dependencies);
+    this.lateness = new Lateness(this.state);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
   }
 
@@ -248,6 +251,7 @@
     this.completion.finishJobs(now);
     for (const job of this.dependencies.takeLookups(now)) this.state.effects.push({ kind: 'lookup', job });
     if (this.readyToPlace(now)) this.schedule(now, wall);
+    this.lateness.watch(now, wall);
     this.fleet.returnLeaving(now);
     this.dispatchCommands(now);
     this.logFleet(now);
@@ -440,6 +444,8 @@
       team: j.spec.team,
       priority: j.priority,
       dueAt: j.dueAt,
+      predictedLateS: j.predictedLateS,
+      waitsFor: [...j.unfinishedDependencies],
       tasks: j.spec.tasks,
       done: j.doneCount,
       placed: j.placements.size,
--- /dev/null
+++ b/src/core/leader/lateness.ts
@@ -0,0 +1,61 @@
+// Which jobs will miss their deadlines, as far as their owners' estimates tell: seen before it happens, for pipelines too.
+import type { Job } from '../job.js';
+import type { JobId, Steady, WallTime } from '../units.js';
+import type { LeaderState } from './state.js';
+
+const LOOK_MS = 2000;
+
+/** Seconds that a job still takes from the moment at which it is ready, if nothing holds it up. */
+const remainingS = (job: Job, now: Steady): number => {
+  let longest = job.pendingCount > 0 ? job.spec.estimateS : 0;
+  for (const { running, runningSince } of job.placements.values()) {
+    const ranS = running && runningSince !== null ? (now - runningSince) / 1000 : 0;
+    longest = Math.max(longest, job.spec.estimateS - ranS);
+  }
+  return longest;
+};
+
+/** Predicts when jobs with a deadline end, and says so once when the prediction turns. */
+export class Lateness {
+  private lookedAt = -Infinity;
+
+  constructor(private readonly state: LeaderState) {}
+
+  watch(now: Steady, wall: WallTime): void {
+    if (now - this.lookedAt < LOOK_MS) return;
+    this.lookedAt = now;
+    const ends = new Map<JobId, number>();
+    for (const job of this.state.jobs.values()) {
+      if (job.spec.deadlineS === null || job.cancelled || job.finalizing) continue;
+      const dueAt = job.record.submittedAt + job.spec.deadlineS * 1000;
+      this.note(job, (this.predictedEnd(job, ends, now, wall) - dueAt) / 1000);
+    }
+  }
+
+  /** The end of the longest path through the jobs that it waits for; a chain needs no recursion. */
+  private predictedEnd(job: Job, ends: Map<JobId, number>, now: Steady, wall: WallTime): number {
+    const stack = [job];
+    while (stack.length > 0) {
+      const top = stack.at(-1)!;
+      const waitsFor = [...top.unfinishedDependencies].flatMap((id) => this.state.jobs.get(id) ?? []);
+      const unknown = waitsFor.find((other) => !ends.has(other.id));
+      if (unknown) {
+        stack.push(unknown);
+        continue;
+      }
+      stack.pop();
+      const readyAt = Math.max(wall, ...waitsFor.map((other) => ends.get(other.id)!));
+      ends.set(top.id, readyAt + remainingS(top, now) * 1000);
+    }
+    return ends.get(job.id)!;
+  }
+
+  private note(job: Job, lateS: number): void {
+    const late = lateS > 0;
+    if (late !== (job.predictedLateS !== null)) {
+      const fields = { job: job.id, class: job.spec.class, lateS: Math.round(lateS), priority: job.priority };
+      this.state.log('info', fields, late ? 'job will miss its deadline' : 'job is in time again');
+    }
+    job.predictedLateS = late ? Math.round(lateS) : null;
+  }
+}
--- a/src/test/dependencies.test.ts
+++ b/src/test/dependencies.test.ts
@@ -7,6 +7,7 @@
 import { Job } from '../core/job.js';
 import { Dependencies } from '../core/leader/dependencies.js';
 import type { LeaderSettings } from '../core/leader/effects.js';
+import { Lateness } from '../core/leader/lateness.js';
 import { LeaderState } from '../core/leader/state.js';
 import { markGuaranteed } from '../core/scheduler/guarantees.js';
 import { priorityRank, type FinalState, type JobSpec, type Priority } from '../core/types.js';
@@ -125,6 +126,27 @@
   assert.deepEqual([waiting.withinGuarantee, later.withinGuarantee], [false, true]);
 });
 
+test('a pipeline that can not be in time is seen when it turns, and when it is in time again', () => {
+  const { state, learn, finish } = setup();
+  const lateness = new Lateness(state);
+  const messages = (): string[] => state.takeEffects().flatMap((e) => (e.kind === 'log' ? [e.text] : []));
+  const look = (atS: number): string[] => {
+    lateness.watch((atS * 1000) as Steady, (atS * 1000) as WallTime);
+    return messages();
+  };
+  learn(idOf(1), { estimateS: 30 });
+  learn(idOf(2), { estimateS: 30, dependsOn: [idOf(1)] });
+  const last = learn(idOf(3), { estimateS: 10, dependsOn: [idOf(2)], deadlineS: 100 });
+  messages();
+  assert.deepEqual(look(20), [], '20 + 30 + 30 + 10 s: in time');
+  assert.deepEqual(look(40), ['job will miss its deadline']);
+  assert.equal(last.predictedLateS, 10);
+  assert.deepEqual(look(50), [], 'said once');
+  finish(idOf(1), 'done');
+  messages();
+  assert.deepEqual(look(55), ['job is in time again']);
+});
+
 interface Model {
   dependsOn: number[];
   priority: Priority;
