--- a/src/test/sim/worker-host.ts
+++ b/src/test/sim/worker-host.ts
@@ -58,6 +58,8 @@
   mute = false;
   /** Given copies of its reports, which arrive again late. */
   copy: ((body: Buffer) => void) | null = null;
+  /** That share of direct commands gets no answer and is carried out once, much later. */
+  lateCommands = { share: 0, until: 0 };
   private readonly clients = new Map<string, HttpClient>();
   private at: number;
   private open = false;
@@ -78,7 +80,14 @@
       if (this.worker.hung) await new Promise<void>((r) => this.held.push(r));
       if (this.worker.deaf) return null;
       const o = body as { reins: number; shift: number; calls: Call[] };
-      const r = this.worker.order(o.reins, o.shift, o.calls.map(commandOf));
+      const carryOut = () => this.worker.order(o.reins, o.shift, o.calls.map(commandOf));
+      if (this.now < this.lateCommands.until && this.random() < this.lateCommands.share) {
+        this.host.world.clock.after(2000 + this.random() * 14_000, () =>
+          this.host.run(() => void carryOut()),
+        );
+        return null;
+      }
+      const r = carryOut();
       return { status: r.executed ? 200 : 409, body: reportBody(r.report) };
     });
     host.run(() => setInterval(() => this.look(), LOOK_MS));
