--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1,8 +1,7 @@
 // What the leader knows and wants. Events go in, effects come out; no I/O, no clock, no randomness of its own. This
 // is its face and its loop; its parts are in leader/.
-import { attemptKey, type Machine } from './cluster.js';
+import type { Machine } from './cluster.js';
 import { Job, newPlacement } from './job.js';
-import { commandsFor } from './reconcile.js';
 import { runCycle } from './scheduler.js';
 import { markGuaranteed } from './scheduler/guarantees.js';
 import { TypePenalties } from './type-penalties.js';
@@ -28,6 +27,7 @@
   type Team,
   type WallTime,
 } from './units.js';
+import { CommandDispatch } from './leader/command-dispatch.js';
 import { Completion } from './leader/completion.js';
 import { Dependencies } from './leader/dependencies.js';
 import type { Effect, ImageLocations, LeaderSettings } from './leader/effects.js';
@@ -37,13 +37,11 @@
 import { Renting } from './leader/renting.js';
 import { Reports } from './leader/reports.js';
 import { LeaderState } from './leader/state.js';
+import { Summary } from './leader/summary.js';
 
 const MAX_TASKS_A_CYCLE = 40;
 const BACKOFF_MS = 400;
 const BACKOFF_MAX_MS = 5000;
-const FLEET_LOG_MS = 10_000;
-/** Attempts kept on a worker only because a copy of their start may still arrive; beyond, starts go in answers. */
-const MAX_UNREAPABLE = 16;
 const MIN_FLEET_HEARD = 3;
 
 export class Leader {
@@ -55,7 +53,6 @@
   private rebuilt = false;
   /** The last tick had no authority. */
   private unauthorised = false;
-  private lastFleetLog = -Infinity;
   private readonly state: LeaderState;
   private readonly fleet: Fleet;
   private readonly reports: Reports;
@@ -64,6 +61,8 @@
   private readonly dependencies: Dependencies;
   private readonly completion: Completion;
   private readonly lateness: Lateness;
+  private readonly commands: CommandDispatch;
+  private readonly summary: Summary;
 
   constructor(
     readonly leadership: Leadership,
@@ -78,6 +77,8 @@
     this.dependencies = new Dependencies(this.state, (job, now) => this.onReady(job, now));
     this.completion = new Completion(this.state, this.dependencies);
     this.lateness = new Lateness(this.state);
+    this.commands = new CommandDispatch(this.state);
+    this.summary = new Summary(this.state);
     this.teams = new Map(settings.teams.map((t) => [t.name, t]));
   }
 
@@ -253,8 +254,8 @@
     if (this.readyToPlace(now)) this.schedule(now, wall);
     this.lateness.watch(now, wall);
     this.fleet.returnLeaving(now);
-    this.dispatchCommands(now);
-    this.logFleet(now);
+    this.commands.dispatch(now);
+    this.summary.logFleet(now);
   }
 
   /**
@@ -266,14 +267,7 @@
     this.unauthorised = true;
     this.fleet.fenceOverdue(now, wall);
     this.fleet.returnLeaving(now, true);
-    for (const m of [...this.state.machinesToCommand]) {
-      if (m.orderOpen || !m.settled || !m.endpointKnown) continue;
-      const stops = commandsFor(m, this.state.jobs, now).filter(
-        (c) => c.op === 'stop' && this.state.jobs.get(c.job)?.cancelled,
-      );
-      // It stays among those to be told: the rest of its commands waits for authority.
-      if (stops.length > 0) this.order(m, stops);
-    }
+    this.commands.dispatchCancellations(now);
   }
 
   /** A new leader first hears one round of reports; silent machines hold up only what may be on them. */
@@ -375,90 +369,8 @@
     }
   }
 
-  /** Tells workers of new starts and stops at once, without waiting for their next report. */
-  private dispatchCommands(now: Steady): void {
-    for (const m of [...this.state.machinesToCommand]) {
-      if (m.orderOpen) continue;
-      this.state.machinesToCommand.delete(m);
-      if (!m.settled || !m.endpointKnown || this.state.machines.get(m.id) !== m) continue;
-      // The bound keeps reports short on a machine that runs many tasks under one leader.
-      const direct = m.unreapable.size < MAX_UNREAPABLE;
-      const commands = commandsFor(m, this.state.jobs, now).filter(
-        (c) => c.op === 'stop' || (c.op === 'start' && direct),
-      );
-      if (commands.length === 0) {
-        if (m.roster !== 'durable' && m.placements.size > 0) this.state.machinesToCommand.add(m);
-        continue;
-      }
-      for (const c of commands) {
-        if (c.op !== 'start') continue;
-        const p = this.state.jobs.get(c.job)?.placements.get(c.index);
-        if (p) p.orderOpen = true;
-        m.unreapable.add(attemptKey(c.job, c.index, c.attempt));
-      }
-      this.order(m, commands);
-    }
-  }
-
-  private order(m: Machine, commands: Command[]): void {
-    m.orderOpen = true;
-    const { id: machine, session } = m;
-    this.state.effects.push({ kind: 'orders', machine, endpoint: m.info.endpoint, session, commands });
-  }
-
-  /** Now and then, what the money goes to: machines by type and kind, and how much of them is used. */
-  private logFleet(now: Steady): void {
-    if (now - this.lastFleetLog < FLEET_LOG_MS) return;
-    this.lastFleetLog = now;
-    const fleet: Record<
-      string,
-      { up: number; booting: number; empty: number; gpus: number; used: number; idle: number }
-    > = {};
-    for (const m of this.state.machines.values()) {
-      const f = (fleet[`${m.info.type}${m.info.spot ? ' spot' : ''}`] ??= {
-        up: 0,
-        booting: 0,
-        empty: 0,
-        gpus: 0,
-        used: 0,
-        idle: 0,
-      });
-      if (!m.up) f.booting++;
-      else f.up++;
-      if (m.up && !m.busy) f.empty++;
-      f.gpus += m.type?.gpus ?? 0;
-      for (const { job, placement } of m.placements.values()) {
-        f.used += job.spec.gpus;
-        if (!placement.running) f.idle += job.spec.gpus;
-      }
-    }
-    let waiting = 0;
-    for (const job of this.state.jobs.values()) waiting += job.pendingCount;
-    this.state.log('info', { fleet, waiting, jobs: this.state.jobs.size }, 'fleet');
-  }
-
   status(): Record<string, unknown> {
-    const jobs = [...this.state.jobs.values()].map((j) => ({
-      id: j.id,
-      class: j.spec.class,
-      team: j.spec.team,
-      priority: j.priority,
-      dueAt: j.dueAt,
-      predictedLateS: j.predictedLateS,
-      waitsFor: [...j.unfinishedDependencies],
-      tasks: j.spec.tasks,
-      done: j.doneCount,
-      placed: j.placements.size,
-      running: j.runningCount,
-      waits: j.pendingCount > 0 ? j.reason : null,
-      withinGuarantee: j.withinGuarantee,
-    }));
-    return {
-      term: this.leadership.term,
-      machines: this.state.machines.size,
-      silent: this.state.unheardMachines.size,
-      jobs,
-    };
+    return this.summary.status();
   }
 }
 export type { Effect, FinishOutcome, ImageLocations, LeaderSettings } from './leader/effects.js';
--- /dev/null
+++ b/src/core/leader/summary.ts
@@ -0,0 +1,70 @@
+// What an operator sees of the leader: machines and their use in the log, jobs and their reasons at the status page.
+import type { Job } from '../job.js';
+import type { Steady } from '../units.js';
+import type { LeaderState } from './state.js';
+
+const FLEET_LOG_MS = 10_000;
+
+interface MachineSums {
+  up: number;
+  booting: number;
+  empty: number;
+  gpus: number;
+  used: number;
+  /** Accelerators held by tasks that wait for their image or their gang. */
+  idle: number;
+}
+
+const describe = (job: Job) => ({
+  id: job.id,
+  class: job.spec.class,
+  team: job.spec.team,
+  priority: job.priority,
+  dueAt: job.dueAt,
+  predictedLateS: job.predictedLateS,
+  waitsFor: [...job.unfinishedDependencies],
+  tasks: job.spec.tasks,
+  done: job.doneCount,
+  placed: job.placements.size,
+  running: job.runningCount,
+  waits: job.pendingCount > 0 ? job.reason : null,
+  withinGuarantee: job.withinGuarantee,
+});
+
+/** Sums over the leader's state for operators. */
+export class Summary {
+  private loggedAt = -Infinity;
+
+  constructor(private readonly state: LeaderState) {}
+
+  /** Now and then, what the money goes to: machines by type and kind, and how much of them is used. */
+  logFleet(now: Steady): void {
+    if (now - this.loggedAt < FLEET_LOG_MS) return;
+    this.loggedAt = now;
+    const fleet: Record<string, MachineSums> = {};
+    for (const machine of this.state.machines.values()) {
+      const kind = `${machine.info.type}${machine.info.spot ? ' spot' : ''}`;
+      const sums = (fleet[kind] ??= { up: 0, booting: 0, empty: 0, gpus: 0, used: 0, idle: 0 });
+      if (!machine.up) sums.booting++;
+      else sums.up++;
+      if (machine.up && !machine.busy) sums.empty++;
+      sums.gpus += machine.type?.gpus ?? 0;
+      for (const { job, placement } of machine.placements.values()) {
+        sums.used += job.spec.gpus;
+        if (!placement.running) sums.idle += job.spec.gpus;
+      }
+    }
+    let waiting = 0;
+    for (const job of this.state.jobs.values()) waiting += job.pendingCount;
+    this.state.log('info', { fleet, waiting, jobs: this.state.jobs.size }, 'fleet');
+  }
+
+  status(): Record<string, unknown> {
+    return {
+      term: this.state.leadership.term,
+      machines: this.state.machines.size,
+      silent: this.state.unheardMachines.size,
+      jobs: [...this.state.jobs.values()].map(describe),
+    };
+  }
+}
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -3,13 +3,13 @@
 import type { CloudClient } from './cloud-client.js';
 import type { Logger } from './logger.js';
 import type { Membership } from './membership.js';
-import { ProgressStore } from './progress-store.js';
-import { reserves, type StateClient } from './state-client.js';
+import { LeaderRecords } from './leader-records.js';
+import type { StateClient } from './state-client.js';
 import { WorkerCalls } from './worker-calls.js';
 import type { Platform } from '../config/platform.js';
 import type { Operator } from '../config/operator.js';
 import { Leader, type Effect, type ImageLocations } from '../core/leader.js';
-import type { FinalState, MachineType, Report, UnchangedReport } from '../core/types.js';
+import type { MachineType, Report, UnchangedReport } from '../core/types.js';
 import type { Counter, JobId, MachineId, SegmentName, Steady, WallTime } from '../core/units.js';
 import { encode, tryDecode } from '../wire/cbor.js';
 import * as wire from '../wire/state.js';
@@ -28,7 +28,6 @@
 const CYCLE_WORK_OF_A_CORE = 600_000;
 const LEAST_CYCLE_WORK = 30_000;
 const TICK_LOG_MS = 10_000;
-const DELETE_RETRY_MS = 2000;
 
 export class LeaderLoop {
   private leader: Leader | null = null;
@@ -44,7 +43,7 @@
   private ticksLoggedAt = 0;
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly workers: WorkerCalls;
-  private readonly progressStore: ProgressStore;
+  private readonly records: LeaderRecords;
 
   constructor(
     private readonly platform: Platform,
@@ -60,10 +59,7 @@
     private readonly cancelled: Pick<CancellationFeed, 'has' | 'jobs'>,
   ) {
     this.workers = new WorkerCalls(orderSockets);
-    this.progressStore = new ProgressStore(
-      (then, conditions) => this.write(then, conditions, reserves.normal),
-      (key) => this.state.get(key, reserves.urgent),
-    );
+    this.records = new LeaderRecords(platform.stateLimits, membership, state, log);
   }
 
   get core(): Leader | null {
@@ -109,14 +105,14 @@
     for (const item of jobs.items) this.learn(leader, item.key, item.data, item.stamp, true);
     for (const item of progress.items) {
       const [, id, segment] = item.key.split('/');
-      this.progressStore.loaded(item.key, item.stamp);
+      this.records.progressLoaded(item.key, item.stamp);
       const bits = wire.parseProgress(item.data);
       if (bits !== null)
         leader.loadProgress(id as JobId, segment as SegmentName, Buffer.from(bits, 'base64'));
     }
     // Jobs were read before: only a leader writes progress, so these belong to jobs that are over.
     const orphans = progress.items.filter((item) => !leader.jobs.has(item.key.split('/')[1] as JobId));
-    void this.deleteKeys(orphans.map((item) => item.key));
+    void this.records.deleteKeys(orphans.map((item) => item.key));
     this.leader = leader;
     this.ledSince = steady();
     this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
@@ -128,6 +124,7 @@
   stop(): void {
     this.ended = true;
     this.leader = null;
+    this.records.end();
     for (const t of this.timers) clearInterval(t);
     this.workers.close();
   }
@@ -293,96 +290,30 @@
     }
   }
 
-  /** Every write of a leader depends on its leader key: a late one from a former leader fails. */
-  private async write(then: wire.Change[], conditions: wire.Condition[] = [], reserve = reserves.urgent) {
-    const held = this.membership.election.held;
-    if (!held || this.ended) return { kind: 'refused' } as const;
-    const guard = { key: wire.keys.leader, stamp: held.keyStamp };
-    const r = await this.state.transact({ if: [guard, ...conditions], then }, reserve);
-    if (r.kind === 'conflict' && r.failed.includes(wire.keys.leader)) {
-      this.membership.deposed();
-      return { kind: 'refused' } as const;
-    }
-    return r;
-  }
-
   private async finish(leader: Leader, e: Extract<Effect, { kind: 'finish' }>): Promise<void> {
-    const { keys } = wire;
-    const atOnce = Math.max(0, this.platform.stateLimits.txnOps - 2);
-    const r = await this.write(
-      [
-        { put: keys.final(e.job), data: wire.finalData(e) },
-        { delete: keys.active(e.job) },
-        ...e.segments.slice(0, atOnce).map((s) => ({ delete: keys.progress(e.job, s) })),
-      ],
-      [{ key: keys.active(e.job), stamp: e.stamp }],
-    );
+    const outcome = await this.records.finish(e);
     if (this.ended) return;
-    if (r.kind === 'ok') {
-      this.progressStore.drop(e.job, e.segments);
-      void this.deleteKeys(e.segments.slice(atOnce).map((s) => keys.progress(e.job, s)));
-      leader.onFinished(e.job, { kind: 'ok', state: e.state }, steady());
-      this.soon();
-    } else if (r.kind === 'conflict') {
-      await this.reread(leader, e.job);
-    } else {
-      leader.onFinished(e.job, { kind: 'retry' }, steady());
-    }
-  }
-
-  /** Records that nothing refers to any more, without haste; what is left when this process ends, the next one finds. */
-  private async deleteKeys(left: string[]): Promise<void> {
-    while (left.length > 0 && !this.ended) {
-      const some = left.slice(0, this.platform.stateLimits.txnOps);
-      const r = await this.write(
-        some.map((key) => ({ delete: key })),
-        [],
-        reserves.normal,
-      );
-      if (r.kind === 'ok') left = left.slice(some.length);
-      else await sleep(DELETE_RETRY_MS);
-    }
-  }
-
-  /** The record changed under us: a cancellation came first, or our own lost write was carried out. */
-  private async reread(leader: Leader, job: JobId): Promise<void> {
-    const active = await this.state.get(wire.keys.active(job), reserves.urgent);
-    const record = active.kind === 'ok' ? wire.parseJobRecord(active.value.data) : null;
-    if (active.kind === 'ok' && record) {
-      leader.onFinished(job, { kind: 'changed', record, stamp: active.value.stamp }, steady());
-      return;
-    }
-    const final = active.kind === 'gone' ? await this.readFinal(job) : null;
-    leader.onFinished(job, final === null ? { kind: 'retry' } : { kind: 'ok', state: final }, steady());
-  }
-
-  private async readFinal(job: JobId): Promise<FinalState | null> {
-    const final = await this.state.get(wire.keys.final(job), reserves.urgent);
-    return final.kind === 'ok' ? (wire.parseFinal(final.value.data)?.state ?? null) : null;
+    leader.onFinished(e.job, outcome, steady());
+    if (outcome.kind === 'ok') this.soon();
   }
 
   private async lookUp(leader: Leader, job: JobId): Promise<void> {
-    const final = await this.readFinal(job);
+    const final = await this.records.readFinal(job);
     if (this.ended) return;
     leader.onLookup(job, final, steady());
     this.soon();
   }
 
   private async progress(leader: Leader, e: Extract<Effect, { kind: 'progress' }>): Promise<void> {
-    const r = await this.progressStore.put(e.job, e.segment, e.bytes);
+    const r = await this.records.putProgress(e.job, e.segment, e.bytes);
     if (r.kind === 'changed') leader.loadProgress(e.job, e.segment, r.bytes);
     leader.onProgress(e.job, e.segment, e.bytes, r.kind === 'ok');
   }
 
   private async writeRoster(leader: Leader, e: Extract<Effect, { kind: 'roster' }>): Promise<void> {
-    const key = wire.keys.rosterPage(e.page);
-    const change =
-      e.machines.length === 0 ? { delete: key } : { put: key, data: wire.rosterRecord(e.machines) };
-    const r = await this.write([change]);
+    const ok = await this.records.writeRoster(e.page, e.machines);
     if (this.ended) return;
-    leader.onRoster(e.page, r.kind === 'ok');
-    if (r.kind !== 'ok')
-      this.log.limited('roster', 'info', { outcome: r.kind }, 'roster not written, tried again');
+    leader.onRoster(e.page, ok);
     this.soon();
   }
 
--- /dev/null
+++ b/src/runtime/leader-records.ts
@@ -0,0 +1,120 @@
+// What a leader writes to the state service: final states, progress, pages of the roster.
+import type { Logger } from './logger.js';
+import type { Membership } from './membership.js';
+import { ProgressStore, type ProgressOutcome } from './progress-store.js';
+import { reserves, type StateClient, type TxnOutcome } from './state-client.js';
+import type { StateLimits } from '../config/platform.js';
+import type { Effect, FinishOutcome } from '../core/leader.js';
+import type { FinalState, MachineInfo } from '../core/types.js';
+import type { JobId, SegmentName, Stamp } from '../core/units.js';
+import * as wire from '../wire/state.js';
+
+const DELETE_RETRY_MS = 2000;
+/** Changes of the transaction that finishes a job, beside the deletion of its progress. */
+const FINISH_CHANGES = 2;
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** The records of one leadership; after `end` nothing more is written. */
+export class LeaderRecords {
+  private ended = false;
+  private readonly progress: ProgressStore;
+
+  constructor(
+    private readonly limits: StateLimits,
+    private readonly membership: Membership,
+    private readonly state: StateClient,
+    private readonly log: Logger,
+  ) {
+    this.progress = new ProgressStore(
+      (then, conditions) => this.write(then, conditions, reserves.normal),
+      (key) => this.state.get(key, reserves.urgent),
+    );
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+
+  /** A segment of progress that was there when the leadership began. */
+  progressLoaded(key: string, revision: Stamp): void {
+    this.progress.loaded(key, revision);
+  }
+
+  putProgress(job: JobId, segment: SegmentName, bytes: Uint8Array): Promise<ProgressOutcome> {
+    return this.progress.put(job, segment, bytes);
+  }
+
+  /** Replaces the job's active record by its final one, and deletes its progress. */
+  async finish(e: Extract<Effect, { kind: 'finish' }>): Promise<FinishOutcome> {
+    const { keys } = wire;
+    const atOnce = Math.max(0, this.limits.txnOps - FINISH_CHANGES);
+    const progress = e.segments.map((segment) => keys.progress(e.job, segment));
+    const r = await this.write(
+      [
+        { put: keys.final(e.job), data: wire.finalData(e) },
+        { delete: keys.active(e.job) },
+        ...progress.slice(0, atOnce).map((key) => ({ delete: key })),
+      ],
+      [{ key: keys.active(e.job), stamp: e.stamp }],
+    );
+    if (r.kind === 'conflict') return this.reread(e.job);
+    if (r.kind !== 'ok') return { kind: 'retry' };
+    this.progress.drop(e.job, e.segments);
+    void this.deleteKeys(progress.slice(atOnce));
+    return { kind: 'ok', state: e.state };
+  }
+
+  /** The record changed under us: a cancellation came first, or our own lost write was carried out. */
+  private async reread(job: JobId): Promise<FinishOutcome> {
+    const active = await this.state.get(wire.keys.active(job), reserves.urgent);
+    const record = active.kind === 'ok' ? wire.parseJobRecord(active.value.data) : null;
+    if (active.kind === 'ok' && record) return { kind: 'changed', record, stamp: active.value.stamp };
+    const final = active.kind === 'gone' ? await this.readFinal(job) : null;
+    return final === null ? { kind: 'retry' } : { kind: 'ok', state: final };
+  }
+
+  /** Null where there is no final record, or no answer. */
+  async readFinal(job: JobId): Promise<FinalState | null> {
+    const final = await this.state.get(wire.keys.final(job), reserves.urgent);
+    return final.kind === 'ok' ? (wire.parseFinal(final.value.data)?.state ?? null) : null;
+  }
+
+  /** False: it has to be tried again. */
+  async writeRoster(page: string, machines: MachineInfo[]): Promise<boolean> {
+    const key = wire.keys.rosterPage(page);
+    const change = machines.length === 0 ? { delete: key } : { put: key, data: wire.rosterRecord(machines) };
+    const r = await this.write([change]);
+    if (r.kind !== 'ok' && !this.ended)
+      this.log.limited('roster', 'info', { outcome: r.kind }, 'roster not written, tried again');
+    return r.kind === 'ok';
+  }
+
+  /** Records that nothing refers to any more, without haste; what is left when this process ends, the next one finds. */
+  async deleteKeys(left: string[]): Promise<void> {
+    while (left.length > 0 && !this.ended) {
+      const some = left.slice(0, this.limits.txnOps);
+      const changes = some.map((key) => ({ delete: key }));
+      const r = await this.write(changes, [], reserves.normal);
+      if (r.kind === 'ok') left = left.slice(some.length);
+      else await sleep(DELETE_RETRY_MS);
+    }
+  }
+
+  /** Every write of a leader depends on its leader key: a late one from a former leader fails. */
+  private async write(
+    then: wire.Change[],
+    conditions: wire.Condition[] = [],
+    reserve = reserves.urgent,
+  ): Promise<TxnOutcome> {
+    const held = this.membership.election.held;
+    if (!held || this.ended) return { kind: 'refused' };
+    const guard = { key: wire.keys.leader, stamp: held.keyStamp };
+    const r = await this.state.transact({ if: [guard, ...conditions], then }, reserve);
+    if (r.kind === 'conflict' && r.failed.includes(wire.keys.leader)) {
+      this.membership.deposed();
+      return { kind: 'refused' };
+    }
+    return r;
+  }
+}
