--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -60,6 +60,7 @@
   doneCount = 0;
   /** Tasks whose completion the state service doesn't hold yet, and that no write under way has. */
   readonly unsaved = new Set<number>();
+  progressSavedAt = -Infinity;
   /** Segments of the completions that are being written. */
   readonly writing = new Set<SegmentName>();
   /** Segments that have a key in the state service. */
--- a/src/core/leader/completion.ts
+++ b/src/core/leader/completion.ts
@@ -7,6 +7,8 @@
 import type { Dependencies } from './dependencies.js';
 import type { LeaderState } from './state.js';
 
+const FLUSH_MS = 1000;
+
 export class Completion {
   private lastProgress = -Infinity;
 
@@ -16,31 +18,48 @@
   ) {}
 
   finishJobs(now: Steady): void {
-    const flush = now - this.lastProgress >= 1000;
-    if (flush) this.lastProgress = now;
     for (const job of this.state.jobs.values()) {
       if (job.finalizing) continue;
       // Not while a machine that has not reported to this leader may hold its tasks: they count for their team's
       // limit, and that machine must be fenced in time.
       const gone = job.placements.size === 0 && !this.state.mayBeOnSilent(job);
-      if (job.allDone || (job.cancelled && gone)) {
-        job.finalizing = true;
-        const state = job.cancelled ? 'cancelled' : 'done';
-        const segments = [...job.stored];
-        const { id, stamp } = job;
-        this.state.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, segments });
-      } else if (flush && job.unsaved.size > 0 && !job.cancelled) {
-        this.saveProgress(job);
-      }
+      if (!job.allDone && !(job.cancelled && gone)) continue;
+      job.finalizing = true;
+      const state = job.cancelled ? 'cancelled' : 'done';
+      const segments = [...job.stored];
+      const { id, stamp } = job;
+      this.state.effects.push({ kind: 'finish', job: id, stamp, state, tasks: job.doneCount, segments });
+    }
+    this.flushProgress(now);
+  }
+
+  /**
+   * Those that waited longest first, and no more than a part of the service's rate of changes: starts and ends need the
+   * rest. Until it is saved, a completion stays in its worker's reports.
+   */
+  private flushProgress(now: Steady): void {
+    if (now - this.lastProgress < FLUSH_MS) return;
+    this.lastProgress = now;
+    const unsaved = [...this.state.jobs.values()].filter(
+      (job) => job.unsaved.size > 0 && !job.finalizing && !job.cancelled,
+    );
+    unsaved.sort((a, b) => a.progressSavedAt - b.progressSavedAt);
+    let left = Math.max(1, Math.floor((this.state.settings.progressRps * FLUSH_MS) / 1000));
+    for (const job of unsaved) {
+      if (left <= 0) break;
+      job.progressSavedAt = now;
+      left -= this.saveProgress(job, left);
     }
   }
 
-  /** Writes the segments with new completions, but for those that a write is still under way for. */
-  private saveProgress(job: Job): void {
+  /** Writes so many segments with new completions, but for those that a write is under way for; how many it wrote. */
+  private saveProgress(job: Job, most: number): number {
     const { segmentBytes } = this.state.settings;
     const unsaved = new Set<number>();
     for (const task of job.unsaved) unsaved.add(Math.floor((task >> 3) / segmentBytes));
+    let written = 0;
     for (const index of unsaved) {
+      if (written === most) break;
       const segment = segmentName(index, segmentBytes, job.done.length);
       if (job.writing.has(segment)) continue;
       const start = index * segmentBytes;
@@ -49,7 +68,9 @@
       job.writing.add(segment);
       const bytes = job.done.slice(start, start + segmentBytes);
       this.state.effects.push({ kind: 'progress', job: job.id, segment, bytes });
+      written++;
     }
+    return written;
   }
 
   /** Completions that the state service holds, read at the start or in place of a refused write. */
--- a/src/core/leader/effects.ts
+++ b/src/core/leader/effects.ts
@@ -31,6 +31,8 @@
   fitsRosterPage: (machines: MachineInfo[]) => boolean;
   /** Bytes of completions in one record. */
   segmentBytes: number;
+  /** Records of progress written a second, at the most. */
+  progressRps: number;
   /** Machines looked at in one cycle, at the most. */
   cycleWork: number;
   /** Uniform in [0, 1). */
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -28,6 +28,8 @@
 const CYCLE_WORK_OF_A_CORE = 600_000;
 const LEAST_CYCLE_WORK = 30_000;
 const TICK_LOG_MS = 10_000;
+/** Of the state service's rate of changes: what a leader's progress may take. */
+const PROGRESS_SHARE = 0.2;
 
 export class LeaderLoop {
   private leader: Leader | null = null;
@@ -83,6 +85,7 @@
         agingS: this.operator.agingS,
         fitsRosterPage: (machines) => wire.fitsRosterPage(machines, this.platform.stateLimits.valueKb),
         segmentBytes: wire.segmentBytes(this.platform.stateLimits.valueKb),
+        progressRps: this.platform.stateLimits.writeRps * PROGRESS_SHARE,
         cycleWork: Math.max(LEAST_CYCLE_WORK, this.platform.limits.cpu * CYCLE_WORK_OF_A_CORE),
         random: this.random,
       },
--- a/src/test/report-handler.test.ts
+++ b/src/test/report-handler.test.ts
@@ -174,6 +174,7 @@
     agingS: 90,
     fitsRosterPage: () => true,
     segmentBytes: 2048,
+    progressRps: 20,
     cycleWork: 100_000,
     random: () => 0.5,
   };
--- a/src/test/sim/day.ts
+++ b/src/test/sim/day.ts
@@ -145,6 +145,7 @@
         agingS: 90,
         fitsRosterPage: (machines) => machines.length <= 16,
         segmentBytes: 2048,
+        progressRps: 20,
         cycleWork: 200_000,
         random: () => this.random(),
       },
--- a/src/test/state-limits.test.ts
+++ b/src/test/state-limits.test.ts
@@ -34,8 +34,8 @@
 });
 
 /** A leader's bookkeeping of one job, with the progress writes that it asks for. */
-const bookkeeping = (tasks: number, bytes: number) => {
-  const settings = { segmentBytes: bytes } as unknown as LeaderSettings;
+const bookkeeping = (tasks: number, bytes: number, progressRps = 1000) => {
+  const settings = { segmentBytes: bytes, progressRps } as unknown as LeaderSettings;
   const state = new LeaderState({ term: 1 as Term, keyStamp: 1 }, settings, now);
   const spec = jobSpec('wk-1', { tasks });
   const job = new Job(spec.id, { spec, submittedAt: 0 as WallTime, cancelledAt: null }, 1, false, now);
@@ -86,6 +86,18 @@
   );
 });
 
+test('progress is paced: the segments that waited longest first, and none is left out', () => {
+  const { job, flush } = bookkeeping(100_000, segmentBytes(2), 3);
+  for (let i = 0; i < 100_000; i += 1000) job.markDone(i);
+  const written: string[] = [];
+  for (let seconds = 0; seconds < 3; seconds++) {
+    const now = flush();
+    assert.equal(now.length, 3);
+    written.push(...now.map((e) => e.segment));
+  }
+  assert.deepEqual(new Set(written).size, 9);
+});
+
 test('names of segments: plain where earlier versions wrote the same, else with the size', () => {
   assert.equal(segmentName(3, 2048, 12_500), '3');
   assert.equal(segmentName(0, 1524, 30), '0');
