--- a/src/core/leader/renting.ts
+++ b/src/core/leader/renting.ts
@@ -13,6 +13,8 @@
 const WAITING_TASKS_A_MACHINE = 16;
 /** Machines in one request (PROTOCOL, cloud). */
 const MOST_RENTED = 50;
+/** A refused kind of machine is asked for again after the operators' time, or this many times as long at the most. */
+const MOST_RESTS = 4;
 /** Like the scheduler: so many reports missed, and nothing new goes to a machine. */
 const SILENT_REPORTS = 2.5;
 /** For so long a leader that got no list rents nothing. */
@@ -51,14 +53,7 @@
       }
     }
     if (got < order.count) {
-      const n = (this.refusals.get(key) ?? 0) + 1;
-      this.refusals.set(key, n);
-      const delay =
-        this.state.settings.capacityRetryS *
-        1000 *
-        Math.min(4, 2 ** (n - 1)) *
-        (0.75 + 0.5 * this.state.settings.random());
-      this.refusedUntil.set(key, (now + delay) as Steady);
+      this.noteRefusal(key, now);
     } else {
       this.refusals.delete(key);
     }
@@ -66,6 +61,16 @@
     this.state.needsScheduling = true;
   }
 
+  /** Rests for longer with each refusal in a row. Requests of one round are refused together: that counts once. */
+  private noteRefusal(key: string, now: Steady): void {
+    if ((this.refusedUntil.get(key) ?? -Infinity) > now) return;
+    const refusals = (this.refusals.get(key) ?? 0) + 1;
+    this.refusals.set(key, refusals);
+    const { capacityRetryS, random } = this.state.settings;
+    const restMs = capacityRetryS * 1000 * Math.min(MOST_RESTS, 2 ** (refusals - 1));
+    this.refusedUntil.set(key, (now + restMs * (0.75 + 0.5 * random())) as Steady);
+  }
+
   /**
    * Urgent work on machines that have fallen silent: it may not start elsewhere before they are fenced, but the machines
    * for it can boot meanwhile. Not for a zone that is cut off: most of what it holds is there again when the cut ends.
--- a/src/test/large-cluster.test.ts
+++ b/src/test/large-cluster.test.ts
@@ -3,7 +3,13 @@
 import { test } from 'node:test';
 import { cycle, job, machine, put } from './sim/cycle.js';
 import { Day } from './sim/day.js';
-import { jobSpec } from './sim/fixtures.js';
+import { jobSpec, types } from './sim/fixtures.js';
+import type { LeaderSettings } from '../core/leader/effects.js';
+import { Fleet } from '../core/leader/fleet.js';
+import { Renting } from '../core/leader/renting.js';
+import { LeaderState } from '../core/leader/state.js';
+import { capacityKey } from '../core/scaling.js';
+import type { Steady, Term } from '../core/units.js';
 
 const MACHINES = 4000;
 const whole = { cpus: 16, gpus: 2, memoryGb: 60, imageGb: 1, checkpointS: 0, saveS: 0 } as const;
@@ -56,3 +62,40 @@
   const [small, large] = [costOfCycle(1000), costOfCycle(MACHINES)];
   assert.ok(large <= small * 4.5, `${small} machines looked at among 1,000, ${large} among 4,000`);
 });
+
+test('a large order goes in several requests; refused together, they are asked for again after one rest', () => {
+  const settings = {
+    capacityRetryS: 15,
+    headroom: 0,
+    idleHoldS: 15,
+    random: () => 0.5,
+    workers: { reportS: 2 },
+  };
+  const state = new LeaderState(
+    { term: 1 as Term, keyStamp: 1 },
+    settings as unknown as LeaderSettings,
+    0 as Steady,
+  );
+  state.types = types;
+  state.listed = true;
+  const renting = new Renting(state, new Fleet(state));
+  const many = Array.from({ length: 8 }, (_, i) => job(`wk-${i}`, { ...whole, tasks: 200 }));
+  const requests = (atS: number) => {
+    renting.scale(many, (atS * 1000) as Steady);
+    return state.takeEffects().flatMap((e) => (e.kind === 'rent' ? [e] : []));
+  };
+  const first = requests(1);
+  assert.equal(
+    first.reduce((sum, e) => sum + e.order.count, 0),
+    100,
+    'a sixteenth of the tasks that wait',
+  );
+  assert.ok(first.length > 1 && first.every((e) => e.order.count <= 50));
+  assert.equal(new Set(first.map((e) => e.request)).size, first.length);
+  for (const e of first) renting.onRented(e.request, 'no-capacity', 1000 as Steady);
+  const kind = (e: (typeof first)[number]): string => `${e.order.type} ${e.order.zone}`;
+  assert.ok(!requests(10).some((e) => kind(e) === kind(first[0])), 'not before the rest is over');
+  assert.ok(
+    renting['refusedUntil'].get(capacityKey(first[0].order.type, first[0].order.zone, false))! <= 16_000,
+  );
+});
