--- /dev/null
+++ b/src/build/known-red.ts
@@ -0,0 +1,71 @@
+/**
+ * Judges a test run against the list of tests that are known to fail (KNOWN-RED.txt). A listed test must exist and
+ * must fail; every other test must pass. Pure: the caller reads the file and runs the tests.
+ */
+
+/** A test that is expected to fail until its fault is mended. */
+export interface KnownRedEntry {
+  test: string;
+  cause: string;
+  issue: string;
+}
+
+/** One finished test, named as the test runner names it. */
+export interface TestResult {
+  name: string;
+  passed: boolean;
+}
+
+/** The outcome of a run: `problems` is empty exactly when the run passes. */
+export interface Verdict {
+  problems: string[];
+  /** Listed tests that failed as expected. */
+  expectedFailures: KnownRedEntry[];
+}
+
+export const MAX_ENTRIES = 3;
+const SEPARATOR = ' | ';
+const FIELDS_PER_LINE = 3;
+
+/** Reads the list: one `test | cause | issue` a line. Throws on a malformed line, a duplicate, and too many lines. */
+export const parseKnownRed = (text: string): KnownRedEntry[] => {
+  const lines = text.split('\n').filter((line) => line.trim() !== '');
+  if (lines.length > MAX_ENTRIES)
+    throw new Error(`${lines.length} known red tests are listed, ${MAX_ENTRIES} at most are allowed`);
+  const entries = lines.map(parseLine);
+  const names = new Set(entries.map((entry) => entry.test));
+  if (names.size < entries.length) throw new Error('a known red test is listed twice');
+  return entries;
+};
+
+const parseLine = (line: string): KnownRedEntry => {
+  const fields = line.split(SEPARATOR).map((field) => field.trim());
+  if (fields.length !== FIELDS_PER_LINE || fields.includes(''))
+    throw new Error(`not of the form "test${SEPARATOR}cause${SEPARATOR}issue": ${line}`);
+  const [test, cause, issue] = fields;
+  return { test, cause, issue };
+};
+
+/** Compares what the tests did with what the list says they do. */
+export const judge = (entries: readonly KnownRedEntry[], results: readonly TestResult[]): Verdict => {
+  const problems: string[] = [];
+  if (results.length === 0) problems.push('no test was run');
+  const listed = new Set(entries.map((entry) => entry.test));
+  for (const result of results)
+    if (!result.passed && !listed.has(result.name)) problems.push(`failed: ${result.name}`);
+  const expectedFailures: KnownRedEntry[] = [];
+  for (const entry of entries) {
+    const problem = entryProblem(entry, results);
+    if (problem === null) expectedFailures.push(entry);
+    else problems.push(problem);
+  }
+  return { problems, expectedFailures };
+};
+
+/** Why a listed test does not do as the list says; null if it does. */
+const entryProblem = ({ test }: KnownRedEntry, results: readonly TestResult[]): string | null => {
+  const found = results.filter((result) => result.name === test);
+  if (found.length === 0) return `listed as known red, but there is no such test: ${test}`;
+  if (found.length > 1) return `listed as known red, but several tests have this name: ${test}`;
+  return found[0].passed ? `listed as known red, but it passes: ${test}` : null;
+};
--- /dev/null
+++ b/src/build/run-tests.ts
@@ -0,0 +1,56 @@
+/**
+ * Runs the test files given as arguments (file names, or all of `target/test`) and judges them against KNOWN-RED.txt.
+ * Exits with 0 only if every test passes but those listed there, and those all fail.
+ */
+import { existsSync, readFileSync, readdirSync } from 'node:fs';
+import { run } from 'node:test';
+import { spec } from 'node:test/reporters';
+import { finished } from 'node:stream/promises';
+import { fileURLToPath } from 'node:url';
+import { judge, parseKnownRed, type KnownRedEntry, type TestResult, type Verdict } from './known-red.js';
+
+const TEST_TIMEOUT_MS = 120_000;
+const TEST_SUFFIX = '.test.js';
+const testDirectory = fileURLToPath(new URL('../test/', import.meta.url));
+const knownRedFile = fileURLToPath(new URL('../../KNOWN-RED.txt', import.meta.url));
+
+const allTestFiles = (): string[] =>
+  readdirSync(testDirectory)
+    .filter((name) => name.endsWith(TEST_SUFFIX))
+    .map((name) => testDirectory + name);
+
+const readKnownRed = (): KnownRedEntry[] =>
+  existsSync(knownRedFile) ? parseKnownRed(readFileSync(knownRedFile, 'utf8')) : [];
+
+/** A test that the runner skips or takes for a todo counts as failed: nothing is passed over without being listed. */
+const runTests = async (files: string[]): Promise<TestResult[]> => {
+  const results: TestResult[] = [];
+  const events = run({ files, concurrency: true, timeout: TEST_TIMEOUT_MS });
+  events.on('test:pass', ({ name, skip, todo }) => {
+    results.push({ name, passed: skip === undefined && todo === undefined });
+  });
+  events.on('test:fail', ({ name }) => {
+    results.push({ name, passed: false });
+  });
+  const reporter = new spec();
+  events.pipe(reporter).pipe(process.stdout, { end: false });
+  await finished(reporter, { writable: false });
+  return results;
+};
+
+const print = ({ problems, expectedFailures }: Verdict): void => {
+  for (const { test, cause, issue } of expectedFailures)
+    console.log(`known red (issue ${issue}): ${test}: ${cause}`);
+  for (const problem of problems) console.log(`not accepted: ${problem}`);
+};
+
+try {
+  const named = process.argv.slice(2);
+  const entries = readKnownRed();
+  const verdict = judge(entries, await runTests(named.length > 0 ? named : allTestFiles()));
+  print(verdict);
+  process.exitCode = verdict.problems.length === 0 ? 0 : 1;
+} catch (e) {
+  console.log(`not accepted: ${e instanceof Error ? e.message : String(e)}`);
+  process.exitCode = 1;
+}
