--- a/src/test/checker.test.ts
+++ b/src/test/checker.test.ts
@@ -76,6 +76,38 @@
   assert.deepEqual(rules(early.checker), ['not_done', 'went_back']);
 });
 
+test('a task that starts again after it was done breaks a rule once a controller or a user knows of its end', () => {
+  const unknown = checkerFor({ tasks: 1 });
+  unknown.checker.taskCompleted(unknown.id, 0);
+  unknown.checker.started(at('a', 'east'), unknown.id, 0);
+  assert.deepEqual(rules(unknown.checker), [], 'its machine may have been lost with the result');
+
+  const acknowledged = checkerFor({ tasks: 1 });
+  acknowledged.checker.taskCompleted(acknowledged.id, 0);
+  acknowledged.checker.completionAcknowledged(acknowledged.id, 0);
+  acknowledged.checker.started(at('a', 'east'), acknowledged.id, 0);
+  assert.deepEqual(rules(acknowledged.checker), ['ran_twice']);
+
+  const told = checkerFor({ tasks: 1 });
+  told.checker.taskCompleted(told.id, 0);
+  told.checker.told(told.id, 'done');
+  told.checker.started(at('a', 'east'), told.id, 0);
+  assert.deepEqual(rules(told.checker), ['ran_twice']);
+});
+
+test('a task that stays on a machine though its job was called done is orphaned', () => {
+  const { checker, world, id } = checkerFor({ tasks: 1 });
+  checker.started(at('a', 'east'), id, 0);
+  checker.taskCompleted(id, 0);
+  checker.told(id, 'done');
+  world.now = 39_000;
+  checker.sweep();
+  assert.deepEqual(rules(checker), []);
+  world.now = 41_000;
+  checker.sweep();
+  assert.deepEqual(rules(checker), ['orphaned']);
+});
+
 test('the checker finds a leader that does not stop cancelled tasks', () => {
   // Broken on purpose: leaves out every stop.
   class Deaf extends Leader {
--- a/src/test/sim/checker.ts
+++ b/src/test/sim/checker.ts
@@ -19,6 +19,9 @@
   private readonly cancelledAt = new Map<JobId, number>();
   private readonly askedToCancel = new Set<JobId>();
   private readonly completed = new Map<JobId, Set<number>>();
+  /** Completions that a controller has told their worker to forget: it knows them for good. */
+  private readonly acknowledged = new Map<JobId, Set<number>>();
+  private readonly doneToldAt = new Map<JobId, number>();
   private readonly toldFinal = new Map<JobId, string>();
   private readonly acceptedAt = new Map<JobId, number>();
   private readonly ran = new Map<JobId, Map<number, number>>();
@@ -36,6 +39,8 @@
     const spec = this.specs.get(job)!;
     const others = [...this.places].filter((p) => p.job === job);
     if (others.some((p) => p.index === index)) this.report('ran_twice', `${job}/${index} on ${machine.id}`);
+    if (this.doneToldAt.has(job) || this.acknowledged.get(job)?.has(index))
+      this.report('ran_twice', `${job}/${index} on ${machine.id} again after it was done`);
     if (spec.types !== null && !spec.types.includes(machine.type)) this.report('wrong_place', `${job} type`);
     if (spec.zone !== null && spec.zone !== machine.zone) this.report('wrong_place', `${job} zone`);
     if (!spec.spot && machine.spot) this.report('wrong_place', `${job} spot`);
@@ -72,6 +77,13 @@
     if (set.size === this.specs.get(job)!.tasks) this.onCompleted(job);
   }
 
+  /** A controller had a worker forget the completion of this task. */
+  completionAcknowledged(job: JobId, index: number): void {
+    const indexes = this.acknowledged.get(job) ?? new Set();
+    indexes.add(index);
+    this.acknowledged.set(job, indexes);
+  }
+
   toldCancelled(job: JobId): void {
     if (!this.cancelledAt.has(job)) this.cancelledAt.set(job, this.now());
     this.told(job, 'cancelled');
@@ -84,6 +96,7 @@
     if (status === 'done') {
       const done = this.completed.get(job)?.size ?? 0;
       if (done < this.specs.get(job)!.tasks) this.report('not_done', `${job}: ${done} tasks completed`);
+      if (!this.doneToldAt.has(job)) this.doneToldAt.set(job, this.now());
     }
     if (status === 'done' || status === 'cancelled') this.toldFinal.set(job, status);
   }
@@ -178,9 +191,12 @@
     }
   }
 
-  /** To be called regularly: finds cancelled tasks that stay. */
+  /** To be called regularly: finds tasks of cancelled and of finished jobs that stay. */
   sweep(): void {
     for (const p of this.places) {
+      const doneAt = this.doneToldAt.get(p.job);
+      if (doneAt !== undefined && this.now() - doneAt > this.cancelS * 1000)
+        this.report('orphaned', `${p.job}/${p.index} on ${p.machine.id} though its job is done`);
       const at = this.cancelledAt.get(p.job);
       if (at !== undefined && this.now() - at > this.cancelS * 1000) {
         this.report('ran_cancelled', `${p.job}/${p.index} on ${p.machine.id}`);
--- /dev/null
+++ b/src/test/sim/leader-harness.ts
@@ -0,0 +1,169 @@
+// A leader's core and stand-in workers, driven step by step: the test says which message arrives when, and the checker
+// sees which rules the workers' tasks break.
+import { Checker } from './checker.js';
+import { VirtualClock } from './clock.js';
+import { jobSpec, teams, types } from './fixtures.js';
+import { Worker, type WorldView } from './worker.js';
+import { Leader, type Effect } from '../../core/leader.js';
+import type { Command, JobSpec, Report } from '../../core/types.js';
+import type { Endpoint, JobId, MachineId, Steady, Term, TypeName, WallTime, Zone } from '../../core/units.js';
+
+const TERM = 3 as Term;
+const TICK_MS = 200;
+export const FETCH_MS = 500;
+const times = { reportS: 2, leaseS: 12, gangWaitS: 30, gangPeerS: 6, cancelS: 40 };
+
+/** The commands of one request that goes straight to a worker. */
+export type DirectCommands = Extract<Effect, { kind: 'orders' }>;
+
+/** The answer to a worker's report, which the test delivers when it likes. */
+export interface ReportAnswer {
+  report: Report;
+  sentAt: number;
+  commands: Command[];
+}
+
+export const startsJob = (commands: Command[], job: JobId): boolean =>
+  commands.some((command) => command.op === 'start' && command.job === job);
+
+export class LeaderHarness {
+  readonly clock = new VirtualClock();
+  readonly checker: Checker;
+  readonly workers: Worker[];
+  private readonly leader: Leader;
+  private readonly specs = new Map<JobId, JobSpec>();
+  private revision = 1;
+
+  constructor(machines: number, runMs: number) {
+    this.checker = new Checker(this.specs, teams, times.cancelS, () => this.clock.now);
+    const view: WorldView = {
+      clock: this.clock,
+      checker: this.checker,
+      times,
+      specs: this.specs,
+      gangs: new Map(),
+      capacity: (name) => types.find((type) => type.name === name)!,
+      runMs: () => runMs,
+      fetchMs: () => FETCH_MS,
+    };
+    this.workers = Array.from({ length: machines }, (_, i) => {
+      const endpoint = `10.1.0.${i}:9000` as Endpoint;
+      const place = { type: 'large' as TypeName, zone: 'east' as Zone, spot: true };
+      return new Worker({ id: `host-${i}` as MachineId, endpoint, ...place }, view);
+    });
+    this.leader = new Leader(
+      { term: TERM, keyStamp: 1 },
+      {
+        workers: times,
+        teams,
+        objectives: [],
+        idleHoldS: 600,
+        capacityRetryS: 15,
+        agingS: 90,
+        listLagS: 8,
+        headroom: 0,
+        fitsRosterPage: () => true,
+        segmentBytes: 1500,
+        progressRps: 10,
+        cycleWork: 100_000,
+        random: () => 0.5,
+      },
+      this.now,
+    );
+    this.leader.setTypes(types);
+    this.enroll();
+  }
+
+  private get now(): Steady {
+    return this.clock.now as Steady;
+  }
+
+  /** All machines are known, under this leader's token, and in the durable roster. */
+  private enroll(): void {
+    const listed = this.workers.map(({ info }) => ({ ...info, status: 'running' as const, ageS: 60 }));
+    this.leader.onList(listed, this.now);
+    for (let round = 0; round < 2; round++) for (const worker of this.workers) this.reportAndAnswer(worker);
+    for (const effect of this.tick()) if (effect.kind === 'roster') this.leader.onRoster(effect.page, true);
+  }
+
+  submit(id: string, over: Partial<JobSpec> = {}): JobId {
+    const spec = jobSpec(id, { spot: true, checkpointS: 0, ...over });
+    this.specs.set(spec.id, spec);
+    const wall = this.clock.now as WallTime;
+    const record = { spec, submittedAt: wall, cancelledAt: null };
+    this.leader.learnJob(spec.id, record, ++this.revision, false, this.now, wall);
+    return spec.id;
+  }
+
+  cancel(job: JobId): void {
+    this.leader.learnCancelled(job, this.now);
+    this.checker.toldCancelled(job);
+  }
+
+  /** A user is told that the job is done. */
+  tellDone(job: JobId): void {
+    this.checker.told(job, 'done');
+  }
+
+  pass(ms: number): void {
+    this.clock.runUntil(this.clock.now + ms);
+  }
+
+  /** Some time goes by, and the leader acts; what it decides on is carried out but for commands to workers. */
+  tick(): Effect[] {
+    this.pass(TICK_MS);
+    this.leader.tick(this.now, this.clock.now as WallTime);
+    return this.leader.takeEffects();
+  }
+
+  /** A tick that sends commands straight to this worker. */
+  tickWithCommands(worker: Worker): DirectCommands {
+    const sent = this.tick().find((e) => e.kind === 'orders' && e.machine === worker.info.id);
+    if (sent?.kind !== 'orders') throw new Error(`no direct command to ${worker.info.id}`);
+    return sent;
+  }
+
+  /** A report arrives at the leader; its answer is not delivered yet. */
+  report(worker: Worker): ReportAnswer {
+    const report = worker.report();
+    return { report, sentAt: this.clock.now, commands: this.leader.onReport(report, this.now) };
+  }
+
+  deliver(worker: Worker, { report, sentAt, commands }: ReportAnswer): void {
+    worker.answered(TERM, commands, sentAt, Number(report.session));
+  }
+
+  reportAndAnswer(worker: Worker): ReportAnswer {
+    const answer = this.report(worker);
+    this.deliver(worker, answer);
+    return answer;
+  }
+
+  /** The worker executes the commands; the leader hears nothing of it. */
+  carryOut(worker: Worker, sent: DirectCommands): Report {
+    return worker.order(TERM, Number(sent.session), sent.commands).report;
+  }
+
+  answered(sent: DirectCommands, report: Report): void {
+    this.leader.onOrdersAnswer(sent.machine, sent.commands, { kind: 'executed', report }, this.now);
+  }
+
+  unanswered(sent: DirectCommands): void {
+    this.leader.onOrdersAnswer(sent.machine, sent.commands, { kind: 'unknown' }, this.now);
+  }
+
+  neverSent(sent: DirectCommands): void {
+    this.leader.onOrdersAnswer(sent.machine, sent.commands, { kind: 'unsent' }, this.now);
+  }
+
+  /** The completions that the leader knows of are written to the state service. */
+  saveProgress(effects: Effect[]): void {
+    for (const effect of effects)
+      if (effect.kind === 'progress') this.leader.onProgress(effect.job, effect.segment, effect.bytes, true);
+  }
+
+  /** Whether the leader counts a task of the job as being, or possibly being, on a machine. */
+  knowsPlacement(job: JobId): boolean {
+    return (this.leader.jobs.get(job)?.placements.size ?? 0) > 0;
+  }
+}
--- a/src/test/sim/network.ts
+++ b/src/test/sim/network.ts
@@ -117,6 +117,9 @@
   private readonly listeners = new Map<string, { host: Host; accept: (s: Socket) => void }>();
   private readonly troubles = new Map<string, Trouble>();
   private readonly held = new Map<string, (() => void)[]>();
+  private readonly slowLinks = new Map<string, number>();
+  /** When the last packet on its way from one host to another arrives: packets never overtake one another. */
+  private readonly lastArrival = new Map<string, number>();
 
   constructor(readonly world: World) {}
 
@@ -136,6 +139,24 @@
     });
   }
 
+  /** Packets between each of these and each of those take up to so long, and stay in order. */
+  slow(these: string[], those: string[], latencyMs: () => number, forMs: number): void {
+    const pairs = these.flatMap((a) => those.filter((b) => b !== a).map((b) => this.key(a, b)));
+    for (const pair of pairs) this.slowLinks.set(pair, latencyMs());
+    this.world.clock.after(forMs, () => {
+      for (const pair of pairs) this.slowLinks.delete(pair);
+    });
+  }
+
+  private schedule(from: string, to: string, f: () => void): void {
+    const { clock } = this.world;
+    const latencyMs = this.slowLinks.get(this.key(from, to)) ?? LATENCY_MS;
+    const direction = `${from}>${to}`;
+    const arrival = Math.max(clock.now + latencyMs, this.lastArrival.get(direction) ?? 0);
+    this.lastArrival.set(direction, arrival);
+    clock.after(arrival - clock.now, f);
+  }
+
   deliver(from: string, to: string, f: () => void): void {
     const pair = this.key(from, to);
     const trouble = this.troubles.get(pair);
@@ -143,7 +164,7 @@
       const held = this.held.get(pair) ?? [];
       held.push(f);
       this.held.set(pair, held);
-    } else if (trouble !== 'lose') this.world.clock.after(LATENCY_MS, f);
+    } else if (trouble !== 'lose') this.schedule(from, to, f);
   }
 
   connect(host: Host, { host: ip, port }: { host: string; port: number }): Socket {
@@ -171,7 +192,7 @@
       listener.host.run(() => listener.accept(there as unknown as Socket));
       host.run(() => here.emit('connect'));
     };
-    this.world.clock.after(LATENCY_MS, attempt);
+    this.schedule(host.ip, ip, attempt);
     return here as unknown as Socket;
   }
 
--- a/src/test/sim/service.ts
+++ b/src/test/sim/service.ts
@@ -46,10 +46,13 @@
   stateLimits?: Partial<StateLimits>;
   /** Limits that it will have later, as the settings announce them. */
   nextLimits?: Partial<StateLimits>;
+  /** Sockets that a controller may have open; few make direct commands that are never sent. */
+  sockets?: number;
   /** The version that the controllers run at the start; else the present one. */
   version?: Version;
 }
 
+const USUAL_SOCKETS = 1000;
 const USUAL_LIMITS: StateLimits = { rps: 200, writeRps: 60, valueKb: 8, txnOps: 12 };
 
 export interface Process {
@@ -146,7 +149,7 @@
       workers: this.times,
       stateLimits: this.limits,
       cloudLimits: { rps: 6, listLagS: 4 },
-      limits: { cpu: 0.25, memoryMb: 146, sockets: 1000 },
+      limits: { cpu: 0.25, memoryMb: 146, sockets: this.setup.sockets ?? USUAL_SOCKETS },
     };
     return { name, ip, platform, host: this.world.host(ip), version: this.setup.version ?? null };
   }
@@ -270,6 +273,11 @@
     }
   }
 
+  /** That share of the commands sent straight to workers is carried out late and gets no answer. */
+  lateCommands(share: number, forMs: number): void {
+    for (const w of this.workers.values()) w.lateCommands = { share, until: this.now + forMs };
+  }
+
   /** Machines on which a task of this job is. */
   machinesOf(id: JobId): WorkerHost[] {
     const ids = new Set(this.checker.machinesOf(id));
--- a/src/test/sim/state-service.ts
+++ b/src/test/sim/state-service.ts
@@ -34,6 +34,7 @@
   private down = false;
   private readonly refused = new Set<string>();
   private lateShare = 0;
+  private lostAnswerShare = 0;
   /** Every answer takes this much longer. */
   answerDelayMs = 0;
   private watchers: (() => void)[] = [];
@@ -83,6 +84,12 @@
     this.host.world.clock.after(forMs, () => (this.lateShare = 0));
   }
 
+  /** That share of the transactions is carried out at once, and only the answer is lost. */
+  loseAnswers(share: number, forMs: number): void {
+    this.lostAnswerShare = share;
+    this.host.world.clock.after(forMs, () => (this.lostAnswerShare = 0));
+  }
+
   private get now(): number {
     return this.host.world.clock.now;
   }
@@ -158,7 +165,10 @@
         this.host.world.clock.after(2000 + this.random() * 10_000, () => this.transact(body as Multi));
         return null;
       }
-      return this.transact(body as Multi);
+      const answer = this.transact(body as Multi);
+      // Drawn only while it matters: days without lost answers keep their random numbers.
+      const lost = this.lostAnswerShare > 0 && this.random() < this.lostAnswerShare;
+      return lost ? null : answer;
     }
     if (path === '/leases') {
       const { ttlMs } = body as { ttlMs: number };
--- a/src/test/sim/user.ts
+++ b/src/test/sim/user.ts
@@ -130,12 +130,14 @@
     this.askedToCancel = true;
     this.checker.askedCancel(this.spec.id);
     for (let tries = 0; tries < 90; tries++) {
+      // Only what was accepted before it was asked has to be known: an answer may be overtaken by the acceptance.
+      const acceptedBefore = this.accepted;
       const r = await this.ask('POST', `/v1/jobs/${this.spec.id}/abort`, {}, 5000);
       if (r?.status === 200) {
         this.take(r);
         return;
       }
-      if (r?.status === 404 && this.accepted) this.checker.forgotten(this.spec.id, '404 to a cancellation');
+      if (r?.status === 404 && acceptedBefore) this.checker.forgotten(this.spec.id, '404 to a cancellation');
       await new Promise((go) => setTimeout(go, 1000));
     }
   }
--- a/src/test/sim/worker.ts
+++ b/src/test/sim/worker.ts
@@ -133,7 +133,7 @@
       const key = `${c.job}/${c.index}#${c.attempt}`;
       const held = this.tasks.get(key);
       if (c.op === 'forget') {
-        if (held?.state === 'exited') this.tasks.delete(key);
+        if (held?.state === 'exited') this.forget(key, held);
       } else if (c.op === 'stop') {
         if (held) this.stop(held, c.graceS);
       } else if (!held) {
@@ -142,6 +142,11 @@
     }
   }
 
+  private forget(key: string, { job, index, cause }: Held): void {
+    this.tasks.delete(key);
+    if (cause === 'done') this.world.checker.completionAcknowledged(job, index);
+  }
+
   private start(job: JobId, index: number, attempt: Attempt, key: string): void {
     const spec = this.world.specs.get(job);
     const held: Held = {
