--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -349,7 +349,14 @@
     this.state.machinesToCommand.add(m);
     this.state.log(
       'debug',
-      { job: job.id, task: index, machine: m.id, waitedS: (now - job.waitingSince) / 1000 },
+      {
+        job: job.id,
+        task: index,
+        attempt: p.attempt,
+        machine: m.id,
+        term: this.leadership.term,
+        waitedS: (now - job.waitingSince) / 1000,
+      },
       'placed',
     );
   }
--- a/src/core/leader/command-dispatch.ts
+++ b/src/core/leader/command-dispatch.ts
@@ -60,6 +60,7 @@
   private send(machine: Machine, commands: Command[]): void {
     machine.orderOpen = true;
     const { id, session, info } = machine;
+    this.state.decisions.commandsSent(machine, commands, { via: 'direct' });
     this.state.effects.push({ kind: 'orders', machine: id, endpoint: info.endpoint, session, commands });
   }
 }
--- a/src/core/leader/reports.ts
+++ b/src/core/leader/reports.ts
@@ -36,6 +36,7 @@
       if (p) p.sentWith = { session: report.session, seq: report.seq };
     }
     this.state.machinesToCommand.delete(m);
+    this.state.decisions.commandsSent(m, commands, { via: 'report', seq: report.seq });
     return commands;
   }
 
@@ -204,7 +205,7 @@
     for (const { job, placement: p } of [...m.placements.values()]) {
       const unsure =
         p.seen || p.orderOpen || p.orderLost || m.tasks.has(attemptKey(job.id, p.index, p.attempt));
-      if (!unsure) this.state.release(job, p, now);
+      if (!unsure) this.state.release(job, p, 'not started by a worker that heeds no command', now);
     }
   }
 
@@ -247,7 +248,7 @@
       // An answer is executed before the worker's next report or never: this report settles it.
       const settled =
         p.sentWith === null || report.session > p.sentWith.session || report.seq > p.sentWith.seq;
-      if (p.stop && settled) this.state.release(job, p, now);
+      if (p.stop && settled) this.state.release(job, p, 'stopped, and not started by a later report', now);
     }
   }
 
@@ -285,12 +286,13 @@
       if (job.spec.kind === 'gang') for (let i = 0; i < job.spec.tasks; i++) job.markDone(i);
       else job.markDone(t.index);
       m.errorJobs.clear();
+      if (own) this.state.decisions.completed(m, t);
     }
     if (!own) return;
     if (t.cause === 'error') this.taskError(m, job, now);
     else if (t.cause === 'no_room') job.backoffUntil = now + 1000 * (0.5 + this.state.settings.random());
     const wanted = own.stop;
-    this.state.release(job, own, now);
+    this.state.release(job, own, 'exited', now);
     if (t.cause === 'done') return;
     this.state.log(
       t.cause === 'stopped' ? 'debug' : 'info',
@@ -332,6 +334,7 @@
     p.seen = true;
     job.place(p);
     m.assign(job, p);
+    this.state.decisions.adopted(m, t);
     if (job.cancelled) p.stop = { graceS: 0, since: now, why: 'cancelled' };
     return p;
   }
--- a/src/core/leader/state.ts
+++ b/src/core/leader/state.ts
@@ -4,6 +4,7 @@
 import { Job, type Placement } from '../job.js';
 import type { Amounts, Leadership, MachineInfo, MachineType } from '../types.js';
 import type { JobId, MachineId, Steady, Zone } from '../units.js';
+import { DecisionLog, type ReleaseCause } from './decision-log.js';
 import type { Effect, LeaderSettings } from './effects.js';
 
 /** What the parts of the leader share: the machines and jobs it knows, and the effects to be carried out. */
@@ -25,13 +26,17 @@
   changedSinceTick = true;
   wakes = 0;
 
+  readonly decisions: DecisionLog;
+
   specOf = (id: JobId): Amounts | null => this.jobs.get(id)?.spec ?? null;
 
   constructor(
     readonly leadership: Leadership,
     readonly settings: LeaderSettings,
     readonly startedAt: Steady,
-  ) {}
+  ) {
+    this.decisions = new DecisionLog(leadership.term, (...line) => this.log(...line));
+  }
 
   /**
    * Whether a task of the job may be on a machine that has not reported under our token: an earlier leader has started
@@ -79,7 +84,8 @@
     return out;
   }
 
-  release(job: Job, p: Placement, now: Steady): void {
+  release(job: Job, p: Placement, cause: ReleaseCause, now: Steady): void {
+    this.decisions.released(job, p, cause);
     const m = this.machines.get(p.machine);
     m?.unassign(job.id, p.index);
     job.release(p.index);
@@ -88,9 +94,9 @@
     this.wake();
   }
 
-  lost(job: Job, p: Placement, why: string, now: Steady): void {
+  lost(job: Job, p: Placement, why: ReleaseCause, now: Steady): void {
     this.log('info', { job: job.id, task: p.index, machine: p.machine, why }, 'task lost');
-    this.release(job, p, now);
+    this.release(job, p, why, now);
     if (job.spec.kind === 'gang') this.breakGang(job, why, now);
   }
 
@@ -110,7 +116,7 @@
     const m = this.machines.get(p.machine);
     m?.changed();
     if (!p.sentWith && !p.orderOpen && !p.orderLost && !p.seen) {
-      this.release(job, p, now); // never told to anyone
+      this.release(job, p, 'never told to its worker', now);
       return;
     }
     if (m) this.machinesToCommand.add(m);
--- a/src/core/leader/summary.ts
+++ b/src/core/leader/summary.ts
@@ -64,6 +64,7 @@
       term: this.state.leadership.term,
       machines: this.state.machines.size,
       silent: this.state.unheardMachines.size,
+      decisions: { ...this.state.decisions.counts },
       jobs: [...this.state.jobs.values()].map(describe),
     };
   }
--- a/src/runtime/controller.ts
+++ b/src/runtime/controller.ts
@@ -205,6 +205,9 @@
       try {
         const answer = await this.serveUser(q);
         served = answer.status !== 503;
+        const { method, target } = q;
+        const { status, told, cause } = answer;
+        this.log.debug({ method, target, status, told, cause }, 'user answered');
         this.countUser(answer);
         reply(answer);
         record('user');
@@ -335,6 +338,7 @@
     });
     const body = {
       ...this.status(),
+      authorityLeftMs: this.membership.authorityLeftMs,
       requests: { open: this.admission.busy, refused: this.admission.refused, ...stage(this.times.user) },
       reports: stage(this.times.report),
       cancellationsBehindMs: this.cancelled.behindMs(performance.now() as Steady),
--- a/src/runtime/http-server.ts
+++ b/src/runtime/http-server.ts
@@ -8,6 +8,8 @@
   retryAfterS?: number;
   /** Why it was refused: for the log, not sent. */
   cause?: string;
+  /** The state of a job that a user is told: for the log, not sent beside the body. */
+  told?: string;
 }
 
 export type Handler = (request: HttpMessage, reply: (r: HttpReply) => void) => void;
--- a/src/runtime/leader-loop.ts
+++ b/src/runtime/leader-loop.ts
@@ -118,7 +118,10 @@
     void this.records.deleteKeys(orphans.map((item) => item.key));
     this.leader = leader;
     this.ledSince = steady();
-    this.log.info({ term: held.term, jobs: jobs.items.length, roster: roster.items.length }, 'leading');
+    const revisions = { roster: roster.ledger, jobs: jobs.ledger, progress: progress.ledger };
+    const loadedMs = Math.round(this.ledSince - startedAt);
+    const counts = { jobs: jobs.items.length, roster: roster.items.length };
+    this.log.info({ term: held.term, ...counts, revisions, loadedMs }, 'leading');
     this.timers.push(setInterval(() => this.soon(), this.operator.cycleMs));
     void this.watchJobs(jobs.ledger);
     void this.pollCloud();
@@ -240,7 +243,11 @@
     const began = steady();
     // Without authority nothing is decided: another controller may lead already.
     if (this.membership.authority) leader.tick(began, wall());
-    else leader.tickWithoutAuthority(began, wall());
+    else {
+      const { authorityLeftMs } = this.membership;
+      this.log.limited('authority', 'info', { authorityLeftMs }, 'no authority: nothing is decided');
+      leader.tickWithoutAuthority(began, wall());
+    }
     this.tickEnded = steady();
     this.tickMs = this.tickEnded - began;
     this.longestTickMs = Math.max(this.longestTickMs, this.tickMs);
@@ -336,6 +343,9 @@
     const body = encode(ordersBody(leader.leadership.term, e.session, e.commands));
     const r = await this.workers.request(e.endpoint, '/orders', body, ORDER_TIMEOUT_MS);
     if (this.ended) return;
+    const { machine, session } = e;
+    const answer = r.ok ? r.status : r.cause;
+    this.log.debug({ machine, session, term: leader.leadership.term, answer }, 'direct command answered');
     if (!r.ok) {
       leader.onOrdersAnswer(e.machine, e.commands, { kind: r.sent ? 'unknown' : 'unsent' }, steady());
     } else {
--- a/src/runtime/leader-records.ts
+++ b/src/runtime/leader-records.ts
@@ -60,6 +60,10 @@
     );
     if (r.kind === 'conflict') return this.reread(e.job);
     if (r.kind !== 'ok') return { kind: 'retry' };
+    this.log.debug(
+      { job: e.job, state: e.state, revision: r.stamp, recordRevision: e.stamp },
+      'final state recorded',
+    );
     this.progress.drop(e.job, e.segments);
     void this.deleteKeys(progress.slice(atOnce));
     return { kind: 'ok', state: e.state };
@@ -112,6 +116,7 @@
     const guard = { key: wire.keys.leader, stamp: held.keyStamp };
     const r = await this.state.transact({ if: [guard, ...conditions], then }, reserve);
     if (r.kind === 'conflict' && r.failed.includes(wire.keys.leader)) {
+      this.log.info({ term: held.term }, 'write refused: the leader key is not ours any more');
       this.membership.deposed();
       return { kind: 'refused' };
     }
--- a/src/runtime/membership.ts
+++ b/src/runtime/membership.ts
@@ -30,6 +30,12 @@
     return hasAuthority(this.election, this.ttlMs, steady());
   }
 
+  /** For how long it may still act as the leader by its own clock; null: it holds no lease. */
+  get authorityLeftMs(): number | null {
+    const { held } = this.election;
+    return held === null ? null : Math.round(authorityEnds(held, this.ttlMs) - steady());
+  }
+
   get holdsLease(): boolean {
     return this.election.held !== null;
   }
@@ -75,6 +81,7 @@
       // Our own key from before a restart: that process is dead, so its lease need not run out.
       const { permit } = r.value;
       if (this.firstLook && leader.node === this.platform.name && !this.election.held && permit) {
+        this.log.info({ term: leader.term, lease: permit }, 'lease of the process before this one ended');
         await this.state.endLease(permit);
       }
     } else return;
@@ -170,7 +177,10 @@
       }
       this.election.held = { lease: lease.value, term, keyStamp, renewedAt: sentAt };
       this.learn(node, term);
-      this.log.info({ term }, 'leadership taken');
+      this.log.info(
+        { term, lease: lease.value, revision: keyStamp, authorityMs: this.authorityLeftMs },
+        'leadership taken',
+      );
       this.events.onLead();
     } finally {
       this.acquiring = false;
@@ -187,11 +197,15 @@
       if (this.election.held !== held) continue;
       if (r.kind === 'ok') {
         held.renewedAt = sentAt;
+        this.log.debug(
+          { term: held.term, lease: held.lease, authorityMs: this.authorityLeftMs },
+          'lease renewed',
+        );
       } else if (r.kind === 'gone') {
         this.election.held = null;
         this.events.onLost('lease gone');
       } else {
-        const left = Math.round(authorityEnds(held, this.ttlMs) - steady());
+        const left = this.authorityLeftMs;
         this.log.limited('renew', 'info', { outcome: r.kind, authorityLeftMs: left }, 'lease not renewed');
       }
     }
--- a/src/runtime/report-handler.ts
+++ b/src/runtime/report-handler.ts
@@ -248,6 +248,18 @@
    * here, and then the tasks of cancelled jobs are stopped: that is final, so it needs no authority.
    */
   private renewWithoutLeader(report: Report, now: Steady): [Outcome, HttpReply] {
+    const [outcome, reply] = this.decideWithoutLeader(report, now);
+    const { id: machine, session, seq, token } = report;
+    const cancellationsKnown = this.cancelled.mayRenewLeases(now);
+    const { leaderSeenAgoMs } = this;
+    this.log.debug(
+      { machine, session, seq, token, outcome, cancellationsKnown, leaderSeenAgoMs },
+      'report answered without a leader',
+    );
+    return [outcome, reply];
+  }
+
+  private decideWithoutLeader(report: Report, now: Steady): [Outcome, HttpReply] {
     if (!this.cancelled.mayRenewLeases(now)) return ['refused', answer(503, {})];
     // Served by the state service, and yet no leader for long: the worker may well reach it where we can't.
     if (this.stateOk() && now - this.leaderSeenAt > this.leaderlessMs) return ['refused', answer(503, {})];
--- a/src/runtime/user-api.ts
+++ b/src/runtime/user-api.ts
@@ -24,7 +24,12 @@
   body: encode({ error: cause }),
 });
 const bad = (status: number, cause: string): HttpReply => ({ status, body: encode({ error: cause }) });
-const good = (body: unknown, status = 200): HttpReply => ({ status, body: encode(body) });
+type Counts = { done: number; running: number };
+const told = (id: JobId, state: UserStatus, counts?: Counts, status = 200): HttpReply => ({
+  status,
+  body: encode(statusBody(id, state, counts)),
+  told: state,
+});
 
 export class UserApi {
   private readonly jobs: JobLookup;
@@ -67,7 +72,7 @@
     if (never === 'undecided') return busy('machine types not known yet');
     if (never !== null) return this.unlessKnown(raw, bad(422, never));
     const final = this.jobs.remembered(spec.id);
-    if (final) return good(statusBody(spec.id, final.state));
+    if (final) return told(spec.id, final.state);
     const refusal = await this.refuseDependencies(spec);
     if (refusal) return refusal.status === 422 ? this.unlessKnown(raw, refusal) : refusal;
     const record: JobRecord = { spec, submittedAt: Date.now() as WallTime, cancelledAt: null };
@@ -81,7 +86,7 @@
       ],
       then: [{ put: keys.active(spec.id), data: jobRecordData(record) }],
     });
-    if (r.kind === 'ok') return good(statusBody(spec.id, 'pending'), 201);
+    if (r.kind === 'ok') return told(spec.id, 'pending', undefined, 201);
     if (r.kind === 'refused' || r.kind === 'lease-gone' || r.kind === 'invalid')
       return busy('state service refuses');
     // Known already, or the answer was lost: what is recorded decides.
@@ -132,9 +137,9 @@
   private async describe(id: JobId, found: Lookup): Promise<HttpReply> {
     if (found.kind === 'final') {
       const done = found.record.tasks;
-      return good(statusBody(id, found.record.state, { done, running: 0 }));
+      return told(id, found.record.state, { done, running: 0 });
     }
-    if (found.kind === 'damaged') return good(statusBody(id, 'pending', { done: 0, running: 0 }));
+    if (found.kind === 'damaged') return told(id, 'pending', { done: 0, running: 0 });
     if (found.kind !== 'active') return busy('not certain');
     if (found.record.cancelledAt !== null) return this.describeCancelled(id);
     const cancelled = await this.jobs.dependencyCancelled(found.record.spec.dependsOn);
@@ -143,7 +148,7 @@
     if (cancelled) return this.recordCancelled(id, found);
     const counts = (await this.counts(id)) ?? { done: 0, running: 0 };
     const status: UserStatus = counts.running > 0 ? 'running' : 'pending';
-    return good(statusBody(id, status, counts));
+    return told(id, status, counts);
   }
 
   private async abort(id: JobId): Promise<HttpReply> {
@@ -156,7 +161,7 @@
   private async recordCancelled(id: JobId, first: Lookup): Promise<HttpReply> {
     let found = first;
     for (let tries = 0; tries < MAX_TRIES; tries++) {
-      if (found.kind === 'final') return good(statusBody(id, found.record.state));
+      if (found.kind === 'final') return told(id, found.record.state);
       if (found.kind !== 'active') return busy('not certain');
       if (found.record.cancelledAt !== null) return this.describeCancelled(id);
       const record = this.cancelledRecord(found.record);
@@ -186,6 +191,6 @@
 
   private describeCancelled(id: JobId): HttpReply {
     this.confirming(id);
-    return good(statusBody(id, 'cancelled', { done: 0, running: 0 }));
+    return told(id, 'cancelled', { done: 0, running: 0 });
   }
 }
--- /dev/null
+++ b/src/test/decision-log.test.ts
@@ -0,0 +1,32 @@
+// The log tells what became of each attempt of a task, and why.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { FETCH_MS, LeaderHarness } from './sim/leader-harness.js';
+
+const RUN_MS = 1000;
+
+test('a task can be followed through the log by job, task, attempt and machine', () => {
+  const day = new LeaderHarness(1, RUN_MS);
+  const worker = day.workers[0];
+  const job = day.submit('wk-1', { tasks: 2, gpus: 5 });
+  const direct = day.tickWithCommands(worker);
+  day.answered(direct, day.carryOut(worker, direct));
+  day.pass(FETCH_MS + RUN_MS);
+  for (let i = 0; i < 8; i++) {
+    day.reportAndAnswer(worker);
+    day.saveProgress(day.tick());
+  }
+  const { attempt } = direct.commands[0];
+  const lines = day.logged
+    .filter(({ fields }) => fields['job'] === job && fields['task'] === 0 && fields['attempt'] === attempt)
+    .map(({ text, fields }) => {
+      assert.equal(fields['machine'], worker.info.id);
+      assert.equal(fields['term'], 3);
+      const details = [fields['op'], fields['via'], fields['cause']].filter(
+        (part) => typeof part === 'string',
+      );
+      return [text, ...details].join(' ');
+    });
+  // It is not forgotten: a late copy of the direct command would start it again.
+  assert.deepEqual(lines, ['placed', 'command sent start direct', 'task completed', 'task released exited']);
+});
--- a/src/test/late-command-meetings.test.ts
+++ b/src/test/late-command-meetings.test.ts
@@ -25,7 +25,7 @@
       for (const { op, job: jobId, index } of commands) {
         const job = this['state'].jobs.get(jobId);
         const placement = job?.placements.get(index);
-        if (job && placement && op === 'start') this['state'].release(job, placement, now);
+        if (job && placement && op === 'start') this['state'].release(job, placement, 'exited', now);
       }
     },
   );
--- a/src/test/sim/leader-harness.ts
+++ b/src/test/sim/leader-harness.ts
@@ -30,6 +30,8 @@
   readonly clock = new VirtualClock();
   readonly checker: Checker;
   readonly workers: Worker[];
+  /** What the leader has logged, in order. */
+  readonly logged: { text: string; fields: Record<string, unknown> }[] = [];
   private readonly leader: Leader;
   private readonly specs = new Map<JobId, JobSpec>();
   private revision = 1;
@@ -113,7 +115,9 @@
   tick(): Effect[] {
     this.pass(TICK_MS);
     this.leader.tick(this.now, this.clock.now as WallTime);
-    return this.leader.takeEffects();
+    const effects = this.leader.takeEffects();
+    for (const effect of effects) if (effect.kind === 'log') this.logged.push(effect);
+    return effects;
   }
 
   /** A tick that sends commands straight to this worker. */
