Starts are settled only by later reports and unsent copies lift nothing; fences keep cancel_s over leaders

Causes: the answer to a direct command, which may overtake the answer to a report, was taken for proof that a start in the latter had come to nothing; a copy of a start that was never sent lifted what an earlier copy needs; each leader waited for silence anew, past cancel_s; half a zone that hangs was taken for a cut zone. Watching silence is a module of its own.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -7,6 +7,7 @@
 } from './types.js';
 import { taskId, type Counter, type JobId, type MachineId, type Steady, type TaskId } from './units.js';
 import type { Job, Placement } from './job.js';
+import { StartsOnTheWay } from './starts-on-the-way.js';
 
 export type AttemptKey = string & { readonly attemptKey: unique symbol };
 export const attemptKey = (job: JobId, index: number, attempt: number): AttemptKey =>
@@ -71,8 +72,7 @@
   quiet = false;
   /** An order to this worker is on its way. */
   orderOpen = false;
-  /** Attempts that must not be forgotten while a lost start could still arrive (it would run them again). */
-  readonly unreapable = new Set<AttemptKey>();
+  readonly startsOnTheWay = new StartsOnTheWay();
   private readonly placed = new Map<TaskId, { job: Job; placement: Placement }>();
   private usedMemo: Amounts | null = null;
   private loadMemo: Load | null = null;
--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -36,6 +36,7 @@
 import { Queue } from './leader/queue.js';
 import { Renting } from './leader/renting.js';
 import { Reports } from './leader/reports.js';
+import { SilenceWatch } from './leader/silence.js';
 import { LeaderState } from './leader/state.js';
 import { Summary } from './leader/summary.js';
 
@@ -55,6 +56,7 @@
   private unauthorised = false;
   private readonly state: LeaderState;
   private readonly fleet: Fleet;
+  private readonly silence: SilenceWatch;
   private readonly reports: Reports;
   private readonly renting: Renting;
   private readonly queue: Queue;
@@ -71,6 +73,7 @@
   ) {
     this.state = new LeaderState(leadership, settings, startedAt);
     this.fleet = new Fleet(this.state);
+    this.silence = new SilenceWatch(this.state, this.fleet);
     this.reports = new Reports(this.state, this.fleet);
     this.renting = new Renting(this.state, this.fleet);
     this.queue = new Queue(this.state);
@@ -244,10 +247,10 @@
 
   tick(now: Steady, wall: WallTime): void {
     this.state.changedSinceTick = false;
-    if (this.unauthorised) this.fleet.restartSilence(now);
+    if (this.unauthorised) this.silence.restart(now);
     this.unauthorised = false;
     this.fleet.enroll(now);
-    this.fleet.watchSilence(now, wall);
+    this.silence.watch(now, wall);
     this.fleet.watchBoots(now);
     this.completion.finishJobs(now);
     for (const job of this.dependencies.takeLookups(now)) this.state.effects.push({ kind: 'lookup', job });
@@ -265,7 +268,7 @@
   tickWithoutAuthority(now: Steady, wall: WallTime): void {
     this.state.changedSinceTick = false;
     this.unauthorised = true;
-    this.fleet.fenceOverdue(now, wall);
+    this.silence.fenceOverdue(now, wall);
     this.fleet.returnLeaving(now, true);
     this.commands.dispatchCancellations(now);
   }
--- a/src/core/leader/command-dispatch.ts
+++ b/src/core/leader/command-dispatch.ts
@@ -6,7 +6,7 @@
 import type { LeaderState } from './state.js';
 
 /** Attempts kept on a worker only because a copy of their start may still arrive; beyond, starts go in answers. */
-const MAX_UNREAPABLE = 16;
+const MAX_STARTS_ON_THE_WAY = 16;
 
 /** Commands that go straight to workers. */
 export class CommandDispatch {
@@ -38,7 +38,7 @@
 
   private dispatchTo(machine: Machine, now: Steady): void {
     // The bound keeps reports short on a machine that runs many tasks under one leader.
-    const direct = machine.unreapable.size < MAX_UNREAPABLE;
+    const direct = machine.startsOnTheWay.size < MAX_STARTS_ON_THE_WAY;
     const commands = commandsFor(machine, this.state.jobs, now).filter(
       (c) => c.op === 'stop' || (c.op === 'start' && direct),
     );
@@ -54,7 +54,7 @@
   private noteStart(machine: Machine, { job, index, attempt }: Command): void {
     const placement = this.state.jobs.get(job)?.placements.get(index);
     if (placement) placement.orderOpen = true;
-    machine.unreapable.add(attemptKey(job, index, attempt));
+    machine.startsOnTheWay.sent(attemptKey(job, index, attempt));
   }
 
   private send(machine: Machine, commands: Command[]): void {
--- a/src/core/leader/reports.ts
+++ b/src/core/leader/reports.ts
@@ -14,6 +14,12 @@
 /** A worker gives up on an answer after this time (PROTOCOL, workers). */
 const ANSWER_LIMIT_MS = 4000;
 
+/**
+ * How a report came. The worker executes the answer to a report before it sends the next one, or never; the answer to a
+ * direct command may overtake it, whatever its sequence number.
+ */
+type Source = 'report' | 'answer to a direct command';
+
 export class Reports {
   private deafSince: Steady[] = [];
 
@@ -23,7 +29,7 @@
   ) {}
 
   onReport(report: Report, now: Steady): Command[] {
-    const m = this.observe(report, now);
+    const m = this.observe(report, 'report', now);
     if (!m) return [];
     this.noteAnswered(m, now);
     // Not under our token yet: an earlier leader's order could still arrive, and this answer raises the token.
@@ -59,7 +65,7 @@
 
   /** A report that comes while we have no authority to command: only taken in. */
   onReportWithoutAuthority(report: Report, now: Steady): void {
-    this.observe(report, now);
+    this.observe(report, 'report', now);
   }
 
   onOrdersAnswer(
@@ -77,18 +83,20 @@
       const p = this.state.jobs.get(c.job)?.placements.get(c.index);
       const own = p && p.attempt === c.attempt && p.machine === id ? p : undefined;
       if (own) own.orderOpen = false;
-      // Refused or never sent: it can't be carried out later either, since token and session only rise. In every
-      // other case a copy may arrive late, even of a start that was answered: the attempt must stay known there.
-      if (result.kind === 'refused' || result.kind === 'unsent')
-        m.unreapable.delete(attemptKey(c.job, c.index, c.attempt));
+      const key = attemptKey(c.job, c.index, c.attempt);
+      // Refused: it can't be carried out later either, nor can an earlier copy, since token and session only rise. Never
+      // sent: that says nothing of an earlier copy. In every other case a copy may arrive late, even of a start that
+      // was answered: the attempt must stay known there.
+      if (result.kind === 'refused') m.startsOnTheWay.refused(key);
+      else if (result.kind === 'unsent') m.startsOnTheWay.neverSent(key);
       else if (result.kind === 'unknown' && own) own.orderLost = true;
     }
     if ((result.kind === 'executed' || result.kind === 'refused') && result.report)
-      this.observe(result.report, now);
+      this.observe(result.report, 'answer to a direct command', now);
   }
 
   /** Takes in a report; null if it is older than what is known. */
-  private observe(report: Report, now: Steady): Machine | null {
+  private observe(report: Report, source: Source, now: Steady): Machine | null {
     // Held back by the network until after its machine was deleted: there is nothing there any more.
     if (this.state.gone.has(report.id)) return null;
     const m = this.state.machines.get(report.id) ?? this.state.addMachine(report, now);
@@ -136,8 +144,8 @@
       this.state.unheardMachines.delete(m.id);
       this.state.needsScheduling = true;
     }
-    this.noteHeeded(m, report, previousAt, now);
-    this.digest(m, report, now);
+    if (source === 'report') this.noteHeeded(m, report, previousAt, now);
+    this.digest(m, report, source, now);
     const idle = !m.busy;
     if (!idle) m.idleSince = null;
     else m.idleSince ??= now;
@@ -212,7 +220,7 @@
   /** Everything that it should hold is there, and everything there should be. */
   private isQuiet(m: Machine): boolean {
     for (const [key, t] of m.tasks) {
-      if (t.state === 'exited' ? !m.unreapable.has(key) : t.state === 'saving') return false;
+      if (t.state === 'exited' ? !m.startsOnTheWay.has(key) : t.state === 'saving') return false;
     }
     for (const { placement: p } of m.placements.values()) if (!p.seen || p.stop !== null) return false;
     return true;
@@ -220,7 +228,7 @@
 
   /** The worker's lease ran out: every task that it held is gone, and answers to older reports are dropped. */
   private sessionEnded(m: Machine, now: Steady): void {
-    m.unreapable.clear();
+    m.startsOnTheWay.clear();
     m.unheeded = 0;
     // Its lease ran out although its reports were answered all the while: none of the answers reached it.
     // Not so after a silence: a cut that ends brings the new session first, with nothing held back before it.
@@ -236,7 +244,7 @@
     }
   }
 
-  private digest(m: Machine, report: Report, now: Steady): void {
+  private digest(m: Machine, report: Report, source: Source, now: Steady): void {
     for (const t of report.tasks) this.digestTask(m, t, now);
     for (const { job, placement: p } of [...m.placements.values()]) {
       if (m.tasks.has(attemptKey(job.id, p.index, p.attempt))) continue;
@@ -245,10 +253,8 @@
         this.state.lost(job, p, 'task vanished', now);
         continue;
       }
-      // An answer is executed before the worker's next report or never: this report settles it.
-      const settled =
-        p.sentWith === null || report.session > p.sentWith.session || report.seq > p.sentWith.seq;
-      if (p.stop && settled) this.state.release(job, p, 'stopped, and not started by a later report', now);
+      if (p.stop && settlesStart(report, source, p))
+        this.state.release(job, p, 'stopped, and not started by a later report', now);
     }
   }
 
@@ -350,3 +356,9 @@
     }
   }
 }
+
+/** Whether this report shows that a start sent with the answer to an earlier one has been executed, or never will be. */
+const settlesStart = (report: Report, source: Source, { sentWith }: Placement): boolean => {
+  if (sentWith === null || report.session > sentWith.session) return true;
+  return source === 'report' && report.seq > sentWith.seq;
+};
--- a/src/core/reconcile.ts
+++ b/src/core/reconcile.ts
@@ -25,7 +25,7 @@
     if (job && task.cause === 'done' && !job.isDurable(task.index) && !job.finalizing && !job.cancelled)
       return null;
     if (job?.finalizing && task.cause === 'done') return null;
-    if (machine.unreapable.has(attemptKey(task.job, task.index, task.attempt))) return null;
+    if (machine.startsOnTheWay.has(attemptKey(task.job, task.index, task.attempt))) return null;
     return { op: 'forget', ...ref };
   }
   if (!job || !placement) return { op: 'stop', ...ref, graceS: 0 };
--- a/src/test/day.test.ts
+++ b/src/test/day.test.ts
@@ -266,7 +266,7 @@
   // The checker must see it: this variant forgets attempts at once, as an earlier version did.
   class Reaping extends Leader {
     override tick(now: Steady, wall: WallTime): void {
-      for (const m of this.machines.values()) if (!m.orderOpen) m.unreapable.clear();
+      for (const m of this.machines.values()) if (!m.orderOpen) m.startsOnTheWay.clear();
       super.tick(now, wall);
     }
   }
--- a/src/test/start-evidence.test.ts
+++ b/src/test/start-evidence.test.ts
@@ -44,6 +44,20 @@
   assert.deepEqual(day.checker.machinesOf(second), [other.info.id]);
 });
 
+test('a cancelled task stays known while its start may still arrive', () => {
+  const { day, worker, direct, slowAnswer, second } = twoStartsOnTheirWay(1);
+  day.cancel(second);
+  day.answered(direct, day.carryOut(worker, direct));
+  day.tick();
+  assert.ok(day.knowsPlacement(second), 'the start is on its way');
+  day.deliver(worker, slowAnswer);
+  day.reportAndAnswer(worker);
+  day.reportAndAnswer(worker);
+  assert.ok(!day.knowsPlacement(second));
+  day.pass(FETCH_MS);
+  assert.equal(day.checker.startsAfterCancel, 0);
+});
+
 test('a completed task is not started again by a late copy, though a later copy was never sent', () => {
   const day = new LeaderHarness(1, SHORT_MS);
   const worker = day.workers[0];
