--- a/src/core/leader/fleet.ts
+++ b/src/core/leader/fleet.ts
@@ -143,14 +143,17 @@
       due.push(m);
     }
     if (due.length === 0) return;
-    due.sort((a, b) => Number(b.leaving?.overdue ?? false) - Number(a.leaving?.overdue ?? false));
-    const ids: MachineId[] = [];
-    for (const m of due.slice(0, MOST_RETURNED)) {
-      m.leaving!.asked = true;
-      ids.push(m.id);
-    }
     this.lastReturn = now;
-    this.state.effects.push({ kind: 'return', machines: ids });
+    // A deadline can't wait for one request after the other; the others leave the cloud's budget to renting.
+    const overdue = due.filter((m) => m.leaving?.overdue);
+    for (let i = 0; i < overdue.length; i += MOST_RETURNED)
+      this.giveBack(overdue.slice(i, i + MOST_RETURNED));
+    if (overdue.length === 0) this.giveBack(due.slice(0, MOST_RETURNED));
+  }
+
+  private giveBack(machines: Machine[]): void {
+    for (const m of machines) m.leaving!.asked = true;
+    this.state.effects.push({ kind: 'return', machines: machines.map((m) => m.id) });
   }
 
   /** Machines that come up together share a page, since writes are few: one write for up to a page of them. */
--- a/src/core/leader/silence.ts
+++ b/src/core/leader/silence.ts
@@ -23,11 +23,15 @@
 const MAYBE_OVERDUE_CANCELS = 0.75;
 /** By this part of cancel_s it is fenced whatever this leader has seen of it: the rest is for the cloud. */
 const LAST_FENCE_CANCELS = 0.85;
+/** For the way of a report to the leader. */
+const ROUND_MARGIN_MS = 750;
 
 /** How the machines that are up are heard, counted in one pass. */
 interface Hearing {
-  /** Those that missed a report. */
+  /** Those that may have missed a report. */
   silent: Machine[];
+  /** How many of them have missed one for certain. */
+  missing: number;
   up: number;
   upByZone: Map<Zone, number>;
   silentByZone: Map<Zone, number>;
@@ -80,13 +84,16 @@
   }
 
   private hearing(now: Steady): Hearing {
-    const found: Hearing = { silent: [], up: 0, upByZone: new Map(), silentByZone: new Map() };
+    const found: Hearing = { silent: [], missing: 0, up: 0, upByZone: new Map(), silentByZone: new Map() };
     for (const machine of this.state.machines.values()) {
       if (!machine.up) continue;
       found.up++;
       countIn(found.upByZone, machine.info.zone);
-      if (this.silentMs(machine, now) < this.missedMs) continue;
+      const silentMs = this.silentMs(machine, now);
+      if (silentMs < this.roundMs) continue;
       found.silent.push(machine);
+      if (silentMs < this.missedMs) continue;
+      found.missing++;
       countIn(found.silentByZone, machine.info.zone);
     }
     return found;
@@ -112,8 +119,8 @@
    * healthy fleet; those that are really gone are soon missing from the cloud's list. All that missed reports count, not
    * only those whose patience is over: else the first tenth of them is fenced.
    */
-  private isManySilent({ silent, up }: Hearing, now: Steady): boolean {
-    if (silent.length > Math.max(LEAST_MANY, up * SILENT_SHARE)) this.manyAt = now;
+  private isManySilent({ missing, up }: Hearing, now: Steady): boolean {
+    if (missing > Math.max(LEAST_MANY, up * SILENT_SHARE)) this.manyAt = now;
     return now - this.manyAt <= this.backMs;
   }
 
@@ -128,6 +135,11 @@
     return now - Math.max(machine.lastReportAt ?? this.state.startedAt, this.silenceFrom);
   }
 
+  /** Within this time a worker that is up has reported, whenever it did before. */
+  private get roundMs(): number {
+    return this.state.settings.workers.reportS * 1250 + ROUND_MARGIN_MS;
+  }
+
   /** A cut silences a whole zone at one moment, but each machine is noticed at its own next report. */
   private get missedMs(): number {
     return (this.state.settings.workers.reportS * 1.25 * 1.5 + 0.5) * 1000;
@@ -158,7 +170,7 @@
 
   private isOverdue(machine: Machine, unlocated: Job[], now: Steady, wall: WallTime): boolean {
     const silentMs = this.silentMs(machine, now);
-    if (silentMs < this.missedMs) return false;
+    if (silentMs < this.roundMs) return false;
     const cancelledForMs = this.overdueCancelMs(machine, unlocated, now, wall);
     return cancelledForMs !== null && silentMs >= this.overduePatienceMs(cancelledForMs);
   }
@@ -166,10 +178,11 @@
   /**
    * How long a machine must be silent when it may hold a task cancelled for so long. What users wait for began with the
    * cancellation, not with this leadership. Guards against leaders that change, or lose and regain their authority,
-   * faster than the patience of each: none would ever fence. A missed report is always waited for.
+   * faster than the patience of each: none would ever fence. A missed report is waited for, and when time is up one round.
    */
   private overduePatienceMs(cancelledForMs: number): number {
     const leftMs = this.state.settings.workers.cancelS * 1000 * LAST_FENCE_CANCELS - cancelledForMs;
+    if (leftMs <= 0) return this.roundMs;
     return Math.max(this.missedMs, Math.min(this.patienceMs, leftMs));
   }
 
