--- a/src/test/dense-meetings.test.ts
+++ b/src/test/dense-meetings.test.ts
@@ -6,7 +6,13 @@
 import { allTroubles, somebody } from './sim/troubles.js';
 import type { JobId, Team } from '../core/units.js';
 
-const [first = 1, last = 4] = (process.env['DENSE_DAYS'] ?? '').split('-').filter(Boolean).map(Number);
+/** The last three broke ran_cancelled before fences kept cancel_s over changes of leader. */
+const KEPT_SEEDS = [1, 2, 112, 220, 227];
+const [first, last] = (process.env['DENSE_DAYS'] ?? '').split('-').filter(Boolean).map(Number);
+const seeds =
+  first === undefined || last === undefined
+    ? KEPT_SEEDS
+    : Array.from({ length: last - first + 1 }, (_, i) => first + i);
 const BEGIN_MS = 25_000;
 const TROUBLES_MS = 110_000;
 const LONGEST_MS = 45_000;
@@ -40,7 +46,7 @@
     }
 };
 
-for (let seed = first; seed <= last; seed++) {
+for (const seed of seeds) {
   test(`dense troubles meet pipelines and cancellations, seed ${seed}`, () =>
     playMeeting(
       { seeds: [seed], quietMs: BEGIN_MS + TROUBLES_MS + LONGEST_MS + 10_000, endMs: 500_000 },
