--- a/src/core/leader.ts
+++ b/src/core/leader.ts
@@ -1,8 +1,8 @@
 // What the leader knows and wants. Events go in, effects come out; no I/O, no clock, no randomness of its own. This
 // is its face and its loop; its parts are in leader/.
 import type { Machine } from './cluster.js';
-import { Job, newPlacement } from './job.js';
-import { runCycle } from './scheduler.js';
+import { Job, newPlacement, type Placement } from './job.js';
+import { runCycle, type Assumed } from './scheduler.js';
 import { markGuaranteed } from './scheduler/guarantees.js';
 import { TypePenalties } from './type-penalties.js';
 import type {
@@ -19,6 +19,7 @@
 } from './types.js';
 import {
   attemptOf,
+  type Attempt,
   type JobId,
   type MachineId,
   type SegmentName,
@@ -309,15 +310,7 @@
       typePenalty: (spec, type) => this.typePenalties.penalty(spec, type),
     });
     this.lastCycleWork = result.work;
-    for (const a of result.placed) this.commit(a.job, a.index, a.machine, now);
-    const gangAttempts = new Map<JobId, ReturnType<typeof attemptOf>>();
-    for (const a of result.placed) {
-      if (a.job.spec.kind !== 'gang') continue;
-      const p = a.job.placements.get(a.index)!;
-      const shared = gangAttempts.get(a.job.id) ?? p.attempt;
-      gangAttempts.set(a.job.id, shared);
-      p.attempt = shared;
-    }
+    this.commitAll(result.placed, now);
     for (const { job, placement, guaranteeOf } of result.victims) {
       const why = guaranteeOf === undefined ? 'preempted' : `preempted for the guarantee of ${guaranteeOf}`;
       this.state.evict(job, placement, why, now);
@@ -342,8 +335,17 @@
     return now - this.renting.lastScale > 1000;
   }
 
-  private commit(job: Job, index: number, m: Machine, now: Steady): void {
-    const p = newPlacement(index, m.id, attemptOf(this.leadership.term, ++this.attempts), now);
+  /** The tasks of a gang find one another by their attempt, so they share one. */
+  private commitAll(placed: readonly Assumed[], now: Steady): void {
+    const gangAttempts = new Map<JobId, Attempt>();
+    for (const { job, index, machine } of placed) {
+      const attempt = gangAttempts.get(job.id) ?? attemptOf(this.leadership.term, ++this.attempts);
+      if (job.spec.kind === 'gang') gangAttempts.set(job.id, attempt);
+      this.commit(job, newPlacement(index, machine.id, attempt, now), machine, now);
+    }
+  }
+
+  private commit(job: Job, p: Placement, m: Machine, now: Steady): void {
     job.place(p);
     m.assign(job, p);
     m.idleSince = null;
@@ -354,7 +356,7 @@
       'debug',
       {
         job: job.id,
-        task: index,
+        task: p.index,
         attempt: p.attempt,
         machine: m.id,
         term: this.leadership.term,
--- a/src/test/decision-log.test.ts
+++ b/src/test/decision-log.test.ts
@@ -30,3 +30,16 @@
   // It is not forgotten: a late copy of the direct command would start it again.
   assert.deepEqual(lines, ['placed', 'command sent start direct', 'task completed', 'task released exited']);
 });
+
+test('the members of a gang are logged with the attempt that they share', () => {
+  const day = new LeaderHarness(2, RUN_MS);
+  const job = day.submit('wk-1', { kind: 'gang', tasks: 2, gpus: 8 });
+  const effects = day.tick();
+  const started = effects.flatMap((e) => (e.kind === 'orders' ? e.commands : [])).map((c) => c.attempt);
+  const placed = day.logged.filter(({ text, fields }) => text === 'placed' && fields['job'] === job);
+  assert.equal(new Set(started).size, 1);
+  assert.deepEqual(
+    placed.map(({ fields }) => fields['attempt']),
+    started,
+  );
+});
