--- a/src/test/incident.test.ts
+++ b/src/test/sim/hanging-machines.ts
@@ -1,9 +1,9 @@
-// The meetings that broke rules at production size (docs/incidents/2026-12-02-rules-broken-at-production-size.md).
-import { test } from 'node:test';
-import { begin, playMeeting, type Meeting } from './sim/meeting.js';
-import { machines } from './sim/scripts.js';
-import type { WorkerHost } from './sim/worker-host.js';
-import type { JobId } from '../core/units.js';
+// Leaders that end one after the other while machines hang with a cancelled task
+// (docs/incidents/2026-12-02-rules-broken-at-production-size.md).
+import { begin, playMeeting, type Meeting } from './meeting.js';
+import { machines } from './scripts.js';
+import type { WorkerHost } from './worker-host.js';
+import type { JobId } from '../../core/units.js';
 
 const MEETING = 60_000;
 const HANGING_IN_ZONE = 2;
@@ -11,10 +11,10 @@
 /** Reports, leases and cancellations as on a large cluster. */
 const slowReports = { workers: { reportS: 3, leaseS: 17, cancelS: 42 } };
 
-type Hanging = (m: Meeting, cancelled: JobId) => WorkerHost[];
+export type Hanging = (m: Meeting, cancelled: JobId) => WorkerHost[];
 
 /** So many at once that their silence alone is no reason to give them up, but less than half of a zone. */
-const someOfEachZone: Hanging = (m, cancelled) => {
+export const someOfEachZone: Hanging = (m, cancelled) => {
   const hanging = new Set(m.sim.machinesOf(cancelled));
   for (const zone of ['east', 'west']) {
     const inZone = machines(m).filter((worker) => worker.info.zone === zone);
@@ -25,7 +25,7 @@
 };
 
 /** Half of a zone, as if it were cut off; the other half is heard. */
-const halfOfZone: Hanging = (m, cancelled) => [
+export const halfOfZone: Hanging = (m, cancelled) => [
   ...m.sim.machinesOf(cancelled),
   ...machines(m).slice(0, HALF_OF_ZONE),
 ];
@@ -43,16 +43,10 @@
     m.sim.at(MEETING + secondMs, () => m.sim.restart(m.sim.leader!, 4000));
   };
 
-const play = async (hanging: Hanging): Promise<void> => {
+export const playLeadersEnd = async (hanging: Hanging): Promise<void> => {
   for (const secondMs of [24_000, 28_000, 29_500])
     await playMeeting(
       { over: slowReports, quietMs: 160_000, endMs: 400_000 },
       leadersEndWhileMachinesHang(secondMs, hanging),
     );
 };
-
-test('leaders that end one after the other do not leave a cancelled task on machines that hang', () =>
-  play(someOfEachZone));
-
-test('half of a zone hangs with a cancelled task while leaders end one after the other', () =>
-  play(halfOfZone));
