--- a/review/lib/cluster.js
+++ b/review/lib/cluster.js
@@ -21,13 +21,18 @@
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
-const freePort = () =>
-  new Promise((resolve) => {
-    const server = net.createServer().listen(0, '127.0.0.1', () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
+/** A free port below those that the system hands out by itself, so that nothing else takes it before it is used. */
+const freePort = async () => {
+  for (;;) {
+    const port = 15_000 + Math.floor(Math.random() * 15_000);
+    const free = await new Promise((resolve) => {
+      const server = net.createServer();
+      server.on('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
     });
-  });
+    if (free) return port;
+  }
+};
 
 const runCommand = () => {
   const text = readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8');
@@ -229,6 +234,17 @@
     throw new Error(`${id} could not be cancelled`);
   }
 
+  /** Records what the leader's page for operators says of a job. The rule is not judged by it. */
+  async noteQueue(id) {
+    for (const node of this.nodes) {
+      const client = new Client(node.internal);
+      const reply = await client.request('GET', '/queue', undefined, 1000);
+      client.close();
+      const text = JSON.stringify(reply?.body?.queue ?? null);
+      if (text.includes(id)) this.note(`operators' page of ${node.name}: ${text}`);
+    }
+  }
+
   async waitFor(what, condition, timeoutS) {
     const until = this.now + timeoutS;
     while (this.now < until) {
