--- a/review/2/case.js
+++ b/review/2/case.js
@@ -74,6 +74,7 @@
     else roomSince ??= cluster.now;
     await sleep(5000 * (0.8 + Math.random() * 0.4));
     if (roomSince !== null && cluster.now - roomSince >= MAX_WAIT_S) {
+      await cluster.noteQueue(job.nameId);
       const names = fitting.map(({ name }) => name).join(' ');
       return `${job.nameId} waits for ${(cluster.now - roomSince).toFixed(0)} s while ${names} fits and has room`;
     }
