--- a/review/lib/cluster.js
+++ b/review/lib/cluster.js
@@ -281,6 +281,11 @@
     cluster.note('test: over its time, could not run');
     void cluster.close().then(() => process.exit(2));
   }, 118_000);
+  for (const signal of ['SIGINT', 'SIGTERM'])
+    process.on(signal, () => {
+      cluster.note(`test: gets ${signal}, could not run`);
+      void cluster.close().then(() => process.exit(2));
+    });
   let code = 2;
   try {
     cluster.note(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
--- a/review/lib/worker.js
+++ b/review/lib/worker.js
@@ -25,6 +25,8 @@
     this.renewedAt = performance.now();
     this.lastSentAt = -Infinity;
     this.changed = false;
+    /** While the machine hangs: resolves when it goes on. */
+    this.hung = null;
     this.images = new Map();
     /** Called with each answered report: the node, and whether it renewed the lease. */
     this.onAnswer = () => undefined;
@@ -41,6 +43,18 @@
     else void this.reportLoop();
   }
 
+  /** The machine hangs: it sends and answers nothing, and nothing on it makes progress or ends. */
+  hang() {
+    this.note(`${this.name} hangs`);
+    this.hung = new Promise((resolve) => {
+      this.resume = () => {
+        this.note(`${this.name} goes on`);
+        this.hung = null;
+        resolve();
+      };
+    });
+  }
+
   /** The machine is gone with all that was on it. */
   kill(why) {
     if (!this.alive) return;
@@ -81,6 +95,8 @@
 
   async reportLoop() {
     while (this.alive) {
+      await this.hung;
+      if (!this.alive) return;
       this.checkLease();
       const [name, address] = this.nodes[this.node];
       this.client ??= new Client(address);
@@ -89,6 +105,7 @@
       this.lastSentAt = sentAt;
       const { shift } = this;
       const reply = await this.client.request('POST', '/checkin', this.report(), RESPONSE_TIMEOUT_MS);
+      await this.hung;
       if (!this.alive) return;
       this.checkLease();
       if (reply?.status === 200) {
@@ -160,7 +177,8 @@
     this.reins = reins;
   }
 
-  onOrders(target, body) {
+  async onOrders(target, body) {
+    await this.hung;
     if (!this.alive) return null;
     this.checkLease();
     if (target === '/inspect') return [200, this.report()];
@@ -173,7 +191,7 @@
 
   checkLease() {
     const now = performance.now();
-    if (now - this.renewedAt <= this.timings.lease_s * 1000) return;
+    if (this.hung || now - this.renewedAt <= this.timings.lease_s * 1000) return;
     this.note(`${this.name}: lease ran out, session ${this.shift + 1} begins`);
     for (const task of this.tasks.values()) this.end(task);
     this.tasks.clear();
