--- /dev/null
+++ b/review/lib-2/trailhead.js
@@ -0,0 +1,96 @@
+/** Settings like those of the prairie tour operators' deployment (`pgta-trailhead`), on loopback addresses. */
+const team = (i) => ({
+  name: `trail-ops-${String(i).padStart(2, '0')}`,
+  cpus: 0,
+  cpusMax: 0,
+  gpus: 8,
+  gpusMax: 250,
+});
+
+export const trailhead = {
+  nodeAreas: ['regina', 'calgary', 'regina'],
+  zones: ['calgary', 'regina'],
+  clockErrorMs: 250,
+  teams: Array.from({ length: 12 }, (_, i) => team(i)),
+  workers: { reportS: 3, leaseS: 17, gangWaitS: 30, gangPeerS: 6, cancelS: 42 },
+  state: { rps: 200, writeRps: 50, valueKb: 8, txnOps: 24 },
+  limits: { cpu: 0.136, memoryMb: 146, fdLimit: 1000 },
+  cloud: {
+    rps: 2,
+    listLagS: 10,
+    bootS: 1.5,
+    breeds: [
+      {
+        label: 'coach-box',
+        vcpus: 24,
+        accelerators: 4,
+        memGb: 96,
+        cacheGb: 100,
+        fetchGbPerS: 0.15,
+        price: 11.36,
+        lowPrice: 3.1,
+        startupS: 25,
+        pastures: ['regina', 'calgary'],
+      },
+      {
+        label: 'elevator',
+        vcpus: 96,
+        accelerators: 8,
+        memGb: 576,
+        cacheGb: 80,
+        fetchGbPerS: 0.12,
+        price: 17.77,
+        lowPrice: 4.3,
+        startupS: 25,
+        pastures: ['regina'],
+      },
+    ],
+  },
+};
+
+/** One replica of the live booking assistant. */
+export const bookingDesk = (nameId, image) => ({
+  nameId,
+  herd: 'booking-desk',
+  outfit: 'trail-ops-00',
+  gait: 'service',
+  rank: 'production',
+  hands: 1,
+  vcpus: 4,
+  accelerators: 1,
+  memGb: 14,
+  ...image,
+  breeds: null,
+  pasture: null,
+  oneZone: false,
+  spread: true,
+  loaners: false,
+  rideS: 0,
+  waypointS: 0,
+  stowS: 0,
+  dueS: null,
+});
+
+/** An audio guide translation batch of one task. */
+export const guideVoices = (nameId, image, fields = {}) => ({
+  nameId,
+  herd: 'guide-voices',
+  outfit: 'trail-ops-01',
+  gait: 'array',
+  rank: 'low',
+  hands: 1,
+  vcpus: 10,
+  accelerators: 1,
+  memGb: 54,
+  ...image,
+  breeds: ['coach-box', 'elevator'],
+  pasture: null,
+  oneZone: false,
+  spread: false,
+  loaners: true,
+  rideS: 40,
+  waypointS: 15,
+  stowS: 5,
+  dueS: null,
+  ...fields,
+});
