--- a/review/6/case.js
+++ b/review/6/case.js
@@ -11,7 +11,7 @@
 /** `node_freeze` with `count = 1`, the busiest; the site files' days have it for 21.25 s and 23 s. */
 const FREEZE_S = 4;
 const SETTLE_MS = 200;
-const CANCEL_AFTER_MS = 50;
+const CANCEL_AFTER_MS = 200;
 const RUN_S = 60;
 const job = guideVoices('wk-000001', { kit: 'img-11', sizeGb: 0.3 });
 
@@ -25,11 +25,11 @@
 };
 
 const play = async (cluster) => {
-  const { users, record, controllers, state, nodes } = cluster;
+  const { users, record, controllers, nodes } = cluster;
   if ((await users.submit(job, RUN_S)) !== 201) return { code: EXIT.couldNotRun, text: 'not accepted' };
   if (!(await cluster.until(() => isRunning(cluster), 30_000)))
     return { code: EXIT.couldNotRun, text: 'the task does not run' };
-  const leader = state.items.get('l/leader')?.data.node;
+  const leader = cluster.leader();
   const [asked, cancelling] = nodes.filter(({ name }) => name !== leader);
   await users.ask(job.nameId, asked);
   if (troubleWanted) {
--- a/review/lib-2/cluster.js
+++ b/review/lib-2/cluster.js
@@ -36,9 +36,18 @@
   }
 
   createWorker({ name, breed, pasture, loaners }) {
-    const { nodes, record } = this;
-    const { workers: timings } = this.site;
-    return new Worker({ name, breed, pasture, loaners, timings, nodes, jobs: this.users.jobs, record });
+    const { record } = this;
+    const { workers: timings, workersBeginAtLeader, WorkerType = Worker } = this.site;
+    const leader = this.leader();
+    const nodes = workersBeginAtLeader
+      ? [...this.nodes].sort((a, b) => Number(b.name === leader) - Number(a.name === leader))
+      : this.nodes;
+    return new WorkerType({ name, breed, pasture, loaners, timings, nodes, jobs: this.users.jobs, record });
+  }
+
+  /** The name of the node that holds the leader key. */
+  leader() {
+    return this.state.items.get('l/leader')?.data.node;
   }
 
   get workers() {
--- a/review/lib-2/trailhead.js
+++ b/review/lib-2/trailhead.js
@@ -8,7 +8,7 @@
 });
 
 export const trailhead = {
-  nodeAreas: ['regina', 'calgary', 'regina'],
+  nodeAreas: ['regina', 'regina', 'calgary'],
   zones: ['calgary', 'regina'],
   clockErrorMs: 250,
   teams: Array.from({ length: 12 }, (_, i) => team(i)),
--- a/review/lib-2/worker.js
+++ b/review/lib-2/worker.js
@@ -28,6 +28,8 @@
     this.fetches = new Map();
     this.sick = false;
     this.stopped = false;
+    /** Answers don't reach the worker. */
+    this.deaf = false;
     this.nodeIndex = 0;
     this.sessionBeganAt = now();
     this.leaseFrom = this.sessionBeganAt;
@@ -36,6 +38,7 @@
     this.clients = nodes.map(({ address }) => new Client(address));
     /** When the last report was answered with a valid 200. */
     this.answeredAt = -Infinity;
+    this.answered = 0;
   }
 
   async start() {
@@ -107,6 +110,19 @@
       this.report(),
       REPLY_TIMEOUT_MS,
     );
+    if (this.deaf) {
+      // The answer is lost: the worker waits for it and closes the connection.
+      this.clients[this.nodeIndex].close();
+      this.clients[this.nodeIndex] = new Client(this.nodes[this.nodeIndex].address);
+      this.record.add('report, its answer is lost', {
+        machine: this.name,
+        node: this.nodes[this.nodeIndex].name,
+        status,
+        answer: body ?? null,
+      });
+      await sleep(sentAt + REPLY_TIMEOUT_MS - now());
+      return this.tryNextNode();
+    }
     if (this.stopped) return true;
     this.record.add('report', {
       machine: this.name,
@@ -125,6 +141,10 @@
       this.nodeIndex = named;
       return false;
     }
+    return this.tryNextNode();
+  }
+
+  async tryNextNode() {
     await sleep(NEXT_NODE_DELAY_MS);
     this.nodeIndex = (this.nodeIndex + 1) % this.nodes.length;
     return false;
@@ -136,6 +156,7 @@
     this.setToken(reins);
     this.leaseFrom = sentAt;
     this.answeredAt = now();
+    this.answered++;
     for (const command of body.calls ?? []) this.execute(command, 'reply');
   }
 
